--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,125 @@
+import eslint from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+/** Modules that the decisions must not touch: they get time, chance and messages from outside. */
+const IO_MODULES = [
+  'net',
+  'fs',
+  'http',
+  'https',
+  'tls',
+  'timers',
+  'dgram',
+  'child_process',
+  'worker_threads',
+  'cluster',
+].flatMap((name) => [name, `node:${name}`]);
+
+const sourceOf = (name) => [`packages/${name}/src/**/*.ts`];
+
+/** Rules of the Airbnb style guide that are not part of the recommended sets. */
+const airbnbRules = {
+  'array-callback-return': 'error',
+  'consistent-return': 'off',
+  curly: ['error', 'multi-line'],
+  'default-case': 'off',
+  eqeqeq: ['error', 'always'],
+  'no-console': 'error',
+  'no-else-return': ['error', { allowElseIf: false }],
+  'no-lonely-if': 'error',
+  'no-multi-assign': 'error',
+  'no-nested-ternary': 'error',
+  'no-param-reassign': 'error',
+  'no-plusplus': 'error',
+  'no-return-assign': ['error', 'always'],
+  'no-unneeded-ternary': 'error',
+  'no-useless-rename': 'error',
+  'no-var': 'error',
+  'object-shorthand': ['error', 'always'],
+  'one-var': ['error', 'never'],
+  'operator-assignment': ['error', 'always'],
+  'prefer-const': 'error',
+  'prefer-destructuring': ['error', { VariableDeclarator: { object: true, array: false } }],
+  'prefer-exponentiation-operator': 'error',
+  'prefer-template': 'error',
+  radix: 'error',
+  yoda: 'error',
+};
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.recommended,
+  prettier,
+  {
+    rules: {
+      ...airbnbRules,
+      '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'inline-type-imports' }],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        { selector: 'typeLike', format: ['PascalCase'] },
+        { selector: 'function', format: ['camelCase'] },
+      ],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/no-empty-function': 'off',
+      'max-lines': ['error', { max: 420, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: sourceOf('core'),
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: IO_MODULES,
+          patterns: ['@heatherledge/*'],
+        },
+      ],
+      'no-restricted-globals': [
+        'error',
+        'Date',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'performance',
+        'process',
+        'fetch',
+      ],
+      'no-restricted-properties': ['error', { object: 'Math', property: 'random' }],
+    },
+  },
+  {
+    files: sourceOf('wire'),
+    rules: {
+      'no-restricted-imports': ['error', { paths: IO_MODULES, patterns: ['@heatherledge/*'] }],
+    },
+  },
+  {
+    files: sourceOf('daemon'),
+    ignores: ['packages/daemon/src/embedded/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: ['child_process', 'node:child_process'],
+          patterns: ['@heatherledge/stand-ins', '@heatherledge/lab', '@heatherledge/cli'],
+        },
+      ],
+    },
+  },
+  {
+    files: sourceOf('cli'),
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@heatherledge/stand-ins', '@heatherledge/lab', '@heatherledge/daemon'] },
+      ],
+    },
+  },
+  {
+    // The syntax trees of PostgreSQL's grammar are walked without types.
+    files: ['packages/stand-ins/src/**/*.ts', 'packages/daemon/src/sql/*.ts'],
+    rules: { '@typescript-eslint/no-explicit-any': 'off' },
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/admin/openapi.ts
@@ -0,0 +1,99 @@
+/** OpenAPI page of the administration API. */
+
+const change = {
+  type: 'object',
+  required: ['changes'],
+  properties: {
+    changes: {
+      type: 'array',
+      items: {
+        type: 'object',
+        required: ['path'],
+        properties: { path: { type: 'string' }, value: {} },
+      },
+      description: 'Paths changed together, or none. A path without a value is deleted.',
+    },
+    expectedRevision: {
+      type: 'integer',
+      description:
+        'Revision on which the change builds; the change is refused if it is not newest.',
+    },
+    changeId: {
+      type: 'string',
+      description: 'Chosen by the asker; the same id is never applied twice.',
+    },
+  },
+};
+
+const issue = {
+  type: 'object',
+  required: ['path', 'organisation'],
+  properties: { path: { type: 'string' }, organisation: { type: 'string' } },
+};
+
+function createAnswers(...entries: readonly (readonly [number, string])[]): object {
+  return Object.fromEntries(entries.map(([status, description]) => [status, { description }]));
+}
+
+function createBody(schema: object): object {
+  return { required: true, content: { 'application/json': { schema } } };
+}
+
+const CHANGE_ANSWERS = createAnswers(
+  [200, 'Accepted; it is in force everywhere within seconds.'],
+  [400, 'The request is malformed; every finding is listed.'],
+  [403, 'A path lies outside of the subtree of the credential.'],
+  [409, 'The settings have a newer revision than expected. Nothing was changed.'],
+  [422, 'The change is not valid; every finding is listed. Nothing was changed.'],
+  [503, "The platform's store cannot be reached. Nothing was changed."],
+  [504, 'It is not known whether the change was accepted; ask again with the same change id.'],
+);
+
+/** OpenAPI page of the administration API. */
+export const OPENAPI_PAGE = {
+  openapi: '3.1.0',
+  info: { title: 'heatherledge administration', version: '1' },
+  components: { securitySchemes: { token: { type: 'http', scheme: 'bearer' } } },
+  security: [{ token: [] }],
+  paths: {
+    '/v1/settings': {
+      get: {
+        summary: 'Settings of the subtree, at one revision.',
+        parameters: [{ name: 'prefix', in: 'query', schema: { type: 'string' } }],
+        responses: createAnswers([200, 'Revision and entries.'], [401, 'No valid token.']),
+      },
+      post: {
+        summary: 'Changes several paths together, or none.',
+        requestBody: createBody(change),
+        responses: CHANGE_ANSWERS,
+      },
+    },
+    '/v1/keys': {
+      post: {
+        summary: 'Issues a tenant key and shows it once.',
+        requestBody: createBody(issue),
+        responses: CHANGE_ANSWERS,
+      },
+    },
+    '/v1/history': {
+      get: {
+        summary: 'Accepted changes, oldest first.',
+        responses: createAnswers([200, 'Changes with author and revision.']),
+      },
+    },
+    '/v1/status': {
+      get: { summary: 'Groups and instances.', responses: createAnswers([200, 'Status.']) },
+    },
+    '/v1/state': {
+      get: { summary: 'State of this process.', responses: createAnswers([200, 'State.']) },
+    },
+    '/livez': { get: { summary: 'Liveness.', responses: createAnswers([200, 'Alive.']) } },
+    '/readyz': {
+      get: {
+        summary: 'Readiness.',
+        responses: createAnswers([200, 'Ready.'], [503, 'Settings are not known.']),
+      },
+    },
+    '/metrics': { get: { summary: 'Metrics.', responses: createAnswers([200, 'Metrics.']) } },
+  },
+};
--- /dev/null
+++ b/packages/daemon/src/callers/answer-writer.ts
@@ -0,0 +1,111 @@
+/** Passes a member's answer on to the caller, holding back what must not be said too early. */
+import {
+  BackendCode,
+  type ErrorFields,
+  type Frame,
+  parseCommandTag,
+  parseErrorResponse,
+} from '@heatherledge/wire';
+import type { AnswerSink } from '../upstreams/upstream-connection.js';
+import type { UpstreamRequest } from './request-unit.js';
+
+/** SQLSTATE of a member that takes no writes. */
+export const READ_ONLY_STATE = '25006';
+
+/** Where an answer goes. */
+export interface CallerOutput {
+  /**
+   * @param bytes - what to send
+   * @returns false if more should wait until the output has drained
+   */
+  write(bytes: Buffer): boolean;
+  /** @returns a promise that resolves when more can be sent, or the caller has gone */
+  drained(): Promise<void>;
+}
+
+/** Takes one answer. The last CommandComplete waits until {@link AnswerWriter.releaseHeld}. */
+export class AnswerWriter implements AnswerSink {
+  /** What the member refused, if it did. */
+  failure: ErrorFields | undefined;
+
+  /** Command tag of the last statement. */
+  lastTag = '';
+
+  private held: Buffer | undefined;
+
+  private forwarded = 0;
+
+  private parseCount = 0;
+
+  private closeCount = 0;
+
+  private abandoned = false;
+
+  constructor(
+    private readonly output: CallerOutput,
+    private readonly request: UpstreamRequest,
+    private readonly hidesReadOnly: boolean,
+  ) {}
+
+  /** @returns whether the caller has been sent any part of the answer */
+  get hasForwarded(): boolean {
+    return this.forwarded > 0;
+  }
+
+  take(frame: Frame): boolean {
+    if (this.abandoned || this.isHidden(frame)) return true;
+    if (frame.type === BackendCode.ErrorMessage) {
+      this.failure = parseErrorResponse(frame.bytes);
+      const isHidden = this.hidesReadOnly && this.failure.code === READ_ONLY_STATE;
+      if (isHidden && !this.hasForwarded) return true;
+    }
+    this.releaseHeld();
+    if (frame.type === BackendCode.CommandComplete) {
+      this.lastTag = parseCommandTag(frame.bytes);
+      this.held = Buffer.from(frame.bytes);
+      return true;
+    }
+    return this.forward(frame.bytes);
+  }
+
+  async drained(): Promise<void> {
+    await this.output.drained();
+  }
+
+  /** Lets the caller see the last statement's completion. */
+  releaseHeld(): void {
+    if (this.held === undefined) return;
+    const bytes = this.held;
+    this.held = undefined;
+    this.forward(bytes);
+  }
+
+  /** Forgets what is held; the caller is told something else. */
+  dropHeld(): void {
+    this.held = undefined;
+  }
+
+  /** Passes nothing more on, because the caller has been given another answer. */
+  abandon(): void {
+    this.abandoned = true;
+    this.held = undefined;
+  }
+
+  private forward(bytes: Buffer): boolean {
+    this.forwarded += 1;
+    return this.output.write(bytes);
+  }
+
+  private isHidden({ type }: Frame): boolean {
+    if (type === BackendCode.ParameterStatus) return true;
+    if (type === BackendCode.ParseComplete) {
+      this.parseCount += 1;
+      return this.request.hideParse[this.parseCount - 1] ?? false;
+    }
+    if (type === BackendCode.CloseComplete) {
+      this.closeCount += 1;
+      return this.request.hideClose[this.closeCount - 1] ?? false;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/groups/watcher-task.ts
@@ -0,0 +1,98 @@
+/** Runs the watcher of one group on this instance. */
+import {
+  type Clock,
+  type FailureDomainId,
+  type GroupRecord,
+  type GroupView,
+  GroupWatcher,
+  type InstanceId,
+  type WatcherAction,
+  type WatcherEvent,
+  type WatcherIdentity,
+  type WatcherOpinion,
+  type WatcherTimings,
+} from '@heatherledge/core';
+import { MemberControl } from '../upstreams/member-control.js';
+
+/** Carries a watcher's words to others. */
+export interface WatcherOutlet {
+  tell(opinion: WatcherOpinion): void;
+  publish(view: GroupView): void;
+  log(event: WatcherEvent): void;
+}
+
+const STEP_MS = 50;
+
+/** Owns the control connections and the decisions of one watcher. */
+export class WatcherTask {
+  private readonly watcher: GroupWatcher;
+
+  private readonly control = new MemberControl();
+
+  private readonly timer: NodeJS.Timeout;
+
+  private stopped = false;
+
+  constructor(
+    identity: WatcherIdentity,
+    private readonly timings: WatcherTimings,
+    private readonly clock: Clock,
+    random: () => number,
+    private readonly outlet: WatcherOutlet,
+  ) {
+    this.watcher = new GroupWatcher(identity, timings, random);
+    this.timer = setInterval(() => this.step(), STEP_MS);
+  }
+
+  /**
+   * @param group - the group by the newest settings
+   * @param watcherDomains - failure domains in which it has a watcher
+   */
+  configure(group: GroupRecord, watcherDomains: ReadonlySet<FailureDomainId>): void {
+    this.control.configure(group.members);
+    this.watcher.configure(group.members, watcherDomains);
+  }
+
+  /**
+   * @param opinion - another watcher's opinion
+   * @param _from - who sent it
+   */
+  handleOpinion(opinion: WatcherOpinion, _from: InstanceId): void {
+    this.perform(this.watcher.handleOpinion(opinion, this.clock.now()));
+  }
+
+  /** @returns the group as seen here */
+  get view(): GroupView {
+    return this.watcher.view;
+  }
+
+  /** Stops watching. */
+  stop(): void {
+    this.stopped = true;
+    clearInterval(this.timer);
+    this.control.close();
+  }
+
+  private step(): void {
+    this.perform(this.watcher.step(this.clock.now()));
+  }
+
+  private perform(actions: readonly WatcherAction[]): void {
+    if (this.stopped) return;
+    for (const action of actions) {
+      if (action.kind === 'order') void this.order(action);
+      else if (action.kind === 'tell') this.outlet.tell(action.opinion);
+      else if (action.kind === 'publish') this.outlet.publish(action.view);
+      else this.outlet.log(action.event);
+    }
+  }
+
+  private async order(action: Extract<WatcherAction, { kind: 'order' }>): Promise<void> {
+    const answer = await this.control.send(
+      action.member,
+      action.order,
+      this.timings.orderTimeoutMs,
+    );
+    this.perform(this.watcher.handleAnswer(action.token, answer, this.clock.now()));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/instance.ts
@@ -0,0 +1,434 @@
+/** Composes one instance out of its tasks. */
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { createSecureContext, type SecureContext } from 'node:tls';
+import {
+  DEFAULT_CLAIM_TIMINGS,
+  DEFAULT_MEMBERSHIP_TIMINGS,
+  DEFAULT_ROUTING_WEIGHTS,
+  DEFAULT_WATCHER_TIMINGS,
+  type FailureDomainId,
+  type GroupId,
+  type InstanceId,
+  type InstanceRecord,
+  PositionCodec,
+  type SessionPosition,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
+import type { Logger } from 'pino';
+import { xoroshiro128plus, unsafeUniformIntDistribution } from 'pure-rand';
+import { AdminApi, type AdminPort } from './admin/admin-api.js';
+import { AdminServer } from './admin/admin-server.js';
+import { CallerListener } from './callers/caller-listener.js';
+import type { ServingContext } from './callers/serving-context.js';
+import { GroupDirectory } from './groups/group-directory.js';
+import { GroupsTask } from './groups/groups-task.js';
+import { PrimaryPosition } from './groups/primary-position.js';
+import { LimitsTask, type SlotKnowledge } from './limits/limits-task.js';
+import { SlotsTask } from './limits/slots-task.js';
+import { MembershipTask } from './peers/membership-task.js';
+import { PeerHub } from './peers/peer-hub.js';
+import { EtcdPlatform } from './platform/etcd-platform.js';
+import type { ProcessSettings } from './process-settings/schema.js';
+import { Metrics } from './runtime/metrics.js';
+import { delay, SystemClock } from './runtime/system-clock.js';
+import { SettingsStore } from './settings/settings-store.js';
+import { SettingsTask } from './settings/settings-task.js';
+import { StatementClassifier } from './sql/classify.js';
+import { PoolsTask } from './upstreams/pools-task.js';
+
+const CLASSIFIER_CACHE_SIZE = 5000;
+const LIST_EVERY_MS = 10_000;
+const INDEX_TIMEOUT_MS = 1000;
+const INDEX_DEADLINE_MS = 1500;
+const READY_STEP_MS = 20;
+/** Longest wait for slots before callers are served with what can be borrowed. */
+const SLOT_PATIENCE_MS = 4000;
+/** Time for loans made by this instance to lapse before its slots are given up. */
+const LOAN_LAPSE_MS = 1100;
+const RANDOM_RANGE = 0x7fffffff;
+/** Organisation in whose name the instance itself asks members. */
+const OWN_ORGANISATION = 'heatherledge';
+
+/** One running instance. */
+export class ProxyInstance implements AdminPort {
+  readonly metrics = new Metrics();
+
+  private readonly clock = new SystemClock();
+
+  private readonly random = createRandom();
+
+  private readonly self: InstanceRecord;
+
+  private readonly hub: PeerHub;
+
+  private readonly membership: MembershipTask;
+
+  private readonly platform: EtcdPlatform;
+
+  private readonly store: SettingsStore;
+
+  private readonly settingsTask: SettingsTask;
+
+  private readonly directory = new GroupDirectory(this.clock);
+
+  private readonly groups: GroupsTask;
+
+  private readonly slots: SlotsTask;
+
+  private readonly limits: LimitsTask;
+
+  private readonly pools: PoolsTask;
+
+  private readonly positions = new Map<GroupId, PrimaryPosition>();
+
+  private readonly callers: CallerListener;
+
+  private readonly admin: AdminServer;
+
+  private stopping = false;
+
+  private listTimer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param config - settings of the process
+   * @param logger - where to log
+   */
+  constructor(
+    private readonly config: ProcessSettings,
+    private readonly logger: Logger,
+  ) {
+    this.self = createSelf(config);
+    const { id } = this.self;
+    const { secret } = config.peers;
+    this.membership = new MembershipTask(
+      this.self,
+      secret,
+      this.clock,
+      DEFAULT_MEMBERSHIP_TIMINGS,
+      this.random,
+      () => this.spread(),
+    );
+    this.hub = new PeerHub({ self: id, secret }, (peer) => this.membership.membership.find(peer));
+    this.platform = new EtcdPlatform(config.platform.endpoint, config.platform.timeoutMs);
+    this.store = new SettingsStore(this.platform);
+    this.settingsTask = this.createSettingsTask();
+    this.groups = this.createGroupsTask();
+    this.limits = new LimitsTask(id, this.hub, this.clock);
+    this.pools = new PoolsTask(id, this.hub, this.clock);
+    this.slots = new SlotsTask(
+      id,
+      randomUUID(),
+      DEFAULT_CLAIM_TIMINGS,
+      this.platform,
+      this.clock,
+      this.random,
+      () => this.spread(),
+    );
+    this.callers = this.createCallers();
+    const api = new AdminApi(this);
+    this.admin = new AdminServer(async (request) => api.handle(request));
+  }
+
+  /**
+   * Starts everything; callers are served once settings are known.
+   *
+   * @throws the system's error if an address is taken
+   */
+  async start(): Promise<void> {
+    const { peers, admin, callers } = this.config;
+    await StatementClassifier.load();
+    this.reloadCertificates();
+    await this.hub.start({ host: peers.host, port: peers.port });
+    await this.membership.start();
+    await this.admin.start(admin.host, admin.port);
+    this.learnSeeds();
+    void this.readList();
+    this.listTimer = setInterval(() => void this.readList(), LIST_EVERY_MS);
+    this.settingsTask.start();
+    this.slots.start();
+    this.limits.start();
+    await this.waitUntilReady();
+    await this.callers.start(callers.host, callers.port);
+    this.logger.info({ event: 'ready', callers, admin, peers: { port: peers.port } }, 'ready');
+  }
+
+  /** Without slots nothing can be admitted, but borrowed tokens may do while none are free. */
+  private async waitUntilReady(): Promise<void> {
+    while (!this.settingsTask.isKnown && !this.stopping) await delay(READY_STEP_MS);
+    const patience = this.clock.now() + SLOT_PATIENCE_MS;
+    while (this.slots.owned.length === 0 && this.clock.now() < patience && !this.stopping) {
+      await delay(READY_STEP_MS);
+    }
+  }
+
+  /** Stops between requests: leaves peers, finishes transactions, hands shares back. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    this.logger.info({ event: 'stopping' }, 'stopping');
+    clearInterval(this.listTimer);
+    this.membership.announceLeaving();
+    await this.callers.drain(this.config.shutdown.graceMs);
+    this.limits.stop();
+    await delay(LOAN_LAPSE_MS);
+    await this.slots.release();
+    this.close();
+    this.logger.info({ event: 'stopped' }, 'stopped');
+  }
+
+  /** Ends everything at once. */
+  close(): void {
+    clearInterval(this.listTimer);
+    this.stopping = true;
+    this.callers.close();
+    this.slots.stop();
+    this.limits.stop();
+    this.settingsTask.stop();
+    this.groups.stop();
+    this.pools.stop();
+    this.membership.stop();
+    this.hub.stop();
+    this.admin.stop();
+    void this.platform.close();
+  }
+
+  /** Reads the callers' certificate again. */
+  reloadCertificates(): void {
+    const { tls } = this.config.callers;
+    const context: SecureContext | undefined = tls && {
+      ...createSecureContext({
+        cert: readFileSync(tls.certificateFile),
+        key: readFileSync(tls.keyFile),
+      }),
+    };
+    this.callers.setSecureContext(context);
+  }
+
+  settings(): SettingsTask['current'] {
+    return this.settingsTask.current;
+  }
+
+  isReady(): boolean {
+    return this.settingsTask.isKnown && !this.stopping;
+  }
+
+  async change(request: Parameters<SettingsTask['change']>[0]): ReturnType<SettingsTask['change']> {
+    const outcome = await this.settingsTask.change(request);
+    const { author, changeId } = request;
+    const paths = request.changes.map(({ path }) => path);
+    this.logger.info({ event: 'settings-change', author, changeId, paths, outcome: outcome.kind });
+    return outcome;
+  }
+
+  async history(): ReturnType<SettingsStore['readHistory']> {
+    return this.store.readHistory();
+  }
+
+  async metricsText(): Promise<string> {
+    this.collectGauges();
+    return this.metrics.registry.metrics();
+  }
+
+  state(): unknown {
+    return {
+      instance: this.self,
+      ready: this.isReady(),
+      stopping: this.stopping,
+      settings: {
+        revision: this.settings().revision,
+        ageMs: this.settingsTask.ageMs,
+        allowsKeys: this.settingsTask.allowsKeys,
+        isRelay: this.settingsTask.isRelay,
+        writers: [...this.settingsTask.writers],
+      },
+      instances: this.membership.membership.all,
+      watched: this.groups.watched,
+      groups: this.directory.used.map((group) => this.directory.findView(group)),
+      pools: this.pools.states,
+      limits: Object.fromEntries(this.limits.describe()),
+      slots: { owned: this.slots.owned, of: this.slots.slotCount },
+      sessions: this.callers.sessionCount,
+      peers: { ...this.hub.counts, ...this.hub.bytes },
+      platformCalls: Object.fromEntries(this.platform.calls),
+    };
+  }
+
+  status(): unknown {
+    return {
+      revision: this.settings().revision,
+      instances: this.membership.membership.all,
+      groups: [...this.settings().groups.keys()].map((group) => ({
+        group,
+        view: this.directory.findView(group) ?? null,
+      })),
+    };
+  }
+
+  private createSettingsTask(): SettingsTask {
+    const { staleLimitMs, whenStale } = this.config.keys;
+    const rules = { limitMs: toMilliseconds(staleLimitMs), policy: whenStale };
+    return new SettingsTask(this.self, this.store, this.hub, this.clock, rules, {
+      onSettings: () => {
+        this.spread();
+        this.callers.recheckKeys();
+      },
+    });
+  }
+
+  private createGroupsTask(): GroupsTask {
+    return new GroupsTask(
+      this.self,
+      this.directory,
+      this.hub,
+      this.clock,
+      DEFAULT_WATCHER_TIMINGS,
+      this.random,
+      (event) => {
+        this.metrics.promotions.inc({ event: event.event });
+        this.logger.warn({ task: 'watcher', ...event }, `watcher: ${event.event}`);
+      },
+    );
+  }
+
+  private createCallers(): CallerListener {
+    const { callers } = this.config;
+    const rules = {
+      messageLimitBytes: callers.messageLimitBytes,
+      mostSessions: callers.mostSessions,
+      startupTimeoutMs: callers.startupTimeoutMs,
+      allowsClearKeys: callers.allowClearKeys,
+    };
+    return new CallerListener(this.createContext(), rules, this.self.id);
+  }
+
+  private createContext(): ServingContext {
+    return {
+      clock: this.clock,
+      failureDomain: this.self.failureDomain,
+      classifier: new StatementClassifier(CLASSIFIER_CACHE_SIZE),
+      codec: new PositionCodec(this.config.peers.secret),
+      directory: this.directory,
+      pools: this.pools,
+      limits: this.limits,
+      weights: DEFAULT_ROUTING_WEIGHTS,
+      deadlineMs: this.config.callers.deadlineMs,
+      settings: () => this.settings(),
+      allowsKeys: () => this.settingsTask.allowsKeys,
+      useGroup: (group) => this.groups.use(group),
+      positionOf: (group) => this.resolvePosition(group),
+      count: (event) => this.metrics.served.inc({ event }),
+      countError: (error) => this.metrics.errors.inc({ error }),
+    };
+  }
+
+  private resolvePosition(group: GroupId): PrimaryPosition {
+    let position = this.positions.get(group);
+    if (position === undefined) {
+      position = new PrimaryPosition(group, this.clock, async () => this.askPosition(group));
+      this.positions.set(group, position);
+    }
+    return position;
+  }
+
+  private async askPosition(group: GroupId): Promise<SessionPosition | undefined> {
+    const primary = await this.directory.waitForPrimary(group, INDEX_DEADLINE_MS);
+    const pool = primary && this.pools.find(group, primary.member);
+    if (pool === undefined) return undefined;
+    try {
+      const connection = await pool.acquire({
+        organisation: toBrand(OWN_ORGANISATION),
+        weight: 1,
+        deadline: toMilliseconds(this.clock.now() + INDEX_DEADLINE_MS),
+      });
+      try {
+        const position = await connection.ask<SessionPosition>(
+          `heatherledge.confirm(${INDEX_TIMEOUT_MS})`,
+        );
+        pool.release(connection);
+        return position;
+      } catch (error) {
+        pool.discard(connection);
+        throw error;
+      }
+    } catch {
+      if (primary !== undefined) this.directory.doubtPrimary(group, primary);
+      return undefined;
+    }
+  }
+
+  /** Tells the tasks of new settings, instances or slots. */
+  private spread(): void {
+    const { live } = this.membership.membership;
+    const settings = this.settings();
+    const slots: SlotKnowledge = {
+      owned: this.slots.owned,
+      slotCount: this.slots.slotCount,
+      holders: this.slots.holders,
+    };
+    this.settingsTask.update(live);
+    this.groups.update({ settings, live });
+    this.slots.setLiveInstances(live.length);
+    this.limits.update(settings, slots);
+    this.pools.update(settings, slots);
+  }
+
+  private learnSeeds(): void {
+    this.membership.membership.learn(
+      this.config.peers.seeds
+        .filter(({ id }) => id !== this.self.id)
+        .map((seed) => ({
+          id: toBrand<InstanceId>(seed.id),
+          failureDomain: toBrand<FailureDomainId>(seed.failureDomain),
+          host: seed.host,
+          peerPort: seed.peerPort,
+          incarnation: 0,
+          state: 'alive' as const,
+        })),
+    );
+    this.spread();
+  }
+
+  /** The list is read by relays only, and by an instance that knows of no other. */
+  private async readList(): Promise<void> {
+    const isAlone = this.membership.membership.live.length <= 1;
+    if (!isAlone && !this.settingsTask.isRelay) return;
+    try {
+      this.membership.membership.learn(await this.platform.listInstances());
+    } catch {
+      // The list is a help only; instances also learn of each other from each other.
+    }
+  }
+
+  private collectGauges(): void {
+    const { ageMs } = this.settingsTask;
+    this.metrics.sessions.set(this.callers.sessionCount);
+    this.metrics.settingsAgeSeconds.set(ageMs === undefined ? -1 : ageMs / 1000);
+    this.metrics.settingsRevision.set(this.settings().revision);
+    this.metrics.slots.set(this.slots.owned.length);
+    const { sent, received } = this.hub.bytes;
+    this.metrics.peerBytes.set({ direction: 'sent' }, sent + this.membership.bytesSent);
+    this.metrics.peerBytes.set({ direction: 'received' }, received);
+    for (const [purpose, count] of this.platform.calls) {
+      this.metrics.platformCalls.set({ purpose }, count);
+    }
+  }
+}
+
+function createSelf(config: ProcessSettings): InstanceRecord {
+  return {
+    id: toBrand<InstanceId>(config.instance.id),
+    failureDomain: toBrand<FailureDomainId>(config.instance.failureDomain),
+    host: config.peers.host,
+    peerPort: config.peers.port,
+    // Seconds since the epoch rise from start to start and leave room for refutations.
+    incarnation: Math.floor(Date.now() / 1000),
+    state: 'alive',
+  };
+}
+
+function createRandom(): () => number {
+  const generator = xoroshiro128plus(Number(process.hrtime.bigint() % BigInt(RANDOM_RANGE)));
+  return () => unsafeUniformIntDistribution(0, RANDOM_RANGE - 1, generator) / RANDOM_RANGE;
+}
--- /dev/null
+++ b/packages/stand-ins/src/member/member-session.ts
@@ -0,0 +1,439 @@
+/** One client's session at a stand-in member, speaking PostgreSQL's protocol. */
+import type { Socket } from 'node:net';
+import type { InstanceId, MemberId, Term } from '@heatherledge/core';
+import {
+  BackendCode,
+  type Frame,
+  FrameSplitter,
+  FrontendCode,
+  createAuthenticationOk,
+  createBackendKeyData,
+  createCommandComplete,
+  createDataRow,
+  createEmptyMessage,
+  createErrorResponse,
+  createParameterDescription,
+  createParameterStatus,
+  createReadyForQuery,
+  createRowDescription,
+  parseBind,
+  parseBindValues,
+  parseObject,
+  parseParse,
+  parseStartup,
+  parseText,
+  type TransactionStatus,
+} from '@heatherledge/wire';
+import { CONTROL_USER } from './member-config.js';
+import type { Member, WriteTransaction } from './member.js';
+import type { ResultColumn, StatementResult } from './sql/execute-select.js';
+import {
+  countParameters,
+  describeStatement,
+  executeStatement,
+  parseStatements,
+  type Statement,
+} from './sql/statement.js';
+import type { TableOverlay } from './sql/table-store.js';
+import { formatValue, SqlFailure, type SqlValue, TYPE_OIDS } from './sql/values.js';
+
+const MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024;
+/** Bytes written before the session lets the socket drain. */
+const WRITE_CHUNK_BYTES = 64 * 1024;
+
+/** What a session needs of its server. */
+export interface SessionHost {
+  readonly member: Member;
+  /** @returns whether a further session of this kind may start */
+  admit(isControl: boolean): boolean;
+  readonly connectMs: number;
+}
+
+interface Portal {
+  readonly statement: Statement | undefined;
+  readonly params: readonly SqlValue[];
+}
+
+type ControlHandler = (member: Member, args: readonly SqlValue[]) => Promise<unknown>;
+
+const CONTROL_FUNCTIONS: Record<string, ControlHandler> = {
+  status: async (member) => ({ accepted: true, status: member.status }),
+  confirm: async (member, [timeout]) => member.confirm(Number(timeout)),
+  await: async (member, [term, position, timeout]) =>
+    member.awaitPosition(Number(term), Number(position), Number(timeout)),
+  fence: async (member, [term, by]) => {
+    const accepted = member.fence(Number(term) as Term, String(by) as InstanceId);
+    return { accepted, status: member.status };
+  },
+  promote: async (member, [term, by]) => {
+    const accepted = member.promote(Number(term) as Term, String(by) as InstanceId);
+    return { accepted, status: member.status };
+  },
+  follow: async (member, [term, primary]) => {
+    const accepted = member.follow(Number(term) as Term, String(primary) as MemberId);
+    return { accepted, status: member.status };
+  },
+  quiesce: async (member, [term, forMs]) => {
+    const accepted = member.quiesce(Number(term) as Term, Number(forMs));
+    return { accepted, status: member.status };
+  },
+};
+
+/** Reads messages one after another and answers them in order. */
+export class MemberSession {
+  isControl = false;
+
+  private readonly splitter = new FrameSplitter(MESSAGE_LIMIT_BYTES);
+
+  private startup: Buffer | undefined = Buffer.alloc(0);
+
+  private queue: Promise<void> = Promise.resolve();
+
+  private readonly statements = new Map<string, Statement | undefined>();
+
+  private readonly portals = new Map<string, Portal>();
+
+  private inBlock = false;
+
+  private failed = false;
+
+  private skipToSync = false;
+
+  private write: WriteTransaction | undefined;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly host: SessionHost,
+    private readonly onEnd: (session: MemberSession) => void,
+  ) {
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => this.receive(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.end());
+  }
+
+  /** Ends the session as a restarting server does. */
+  kill(): void {
+    this.socket.destroy();
+  }
+
+  private end(): void {
+    this.abandonTransaction();
+    this.onEnd(this);
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.startup !== undefined) {
+      this.startup = Buffer.concat([this.startup, chunk]);
+      this.queue = this.queue.then(() => this.readStartup());
+      return;
+    }
+    try {
+      for (const frame of this.splitter.push(chunk)) {
+        this.queue = this.queue.then(() => this.handleFrame(frame));
+      }
+    } catch {
+      this.socket.destroy();
+    }
+  }
+
+  private async readStartup(): Promise<void> {
+    const packet = this.startup;
+    if (packet === undefined || packet.length < 8) return;
+    const size = packet.readInt32BE(0);
+    if (packet.length < size) return;
+    const request = parseStartup(packet.subarray(0, size));
+    if (request.kind === 'tls' || request.kind === 'gss') {
+      this.startup = packet.subarray(size);
+      this.socket.write('N');
+      return;
+    }
+    if (request.kind !== 'startup') {
+      this.socket.destroy();
+      return;
+    }
+    this.startup = undefined;
+    await this.welcome(request.parameters.get('user') === CONTROL_USER);
+    if (packet.length > size) this.receive(packet.subarray(size));
+  }
+
+  private async welcome(isControl: boolean): Promise<void> {
+    this.isControl = isControl;
+    if (!this.host.admit(isControl)) {
+      const error = createErrorResponse({
+        severity: 'FATAL',
+        code: '53300',
+        message: 'sorry, too many clients already',
+      });
+      this.socket.end(error);
+      return;
+    }
+    await delay(this.host.connectMs);
+    this.socket.write(
+      Buffer.concat([
+        createAuthenticationOk(),
+        createParameterStatus('server_version', '16.0'),
+        createParameterStatus('client_encoding', 'UTF8'),
+        createParameterStatus('server_encoding', 'UTF8'),
+        createParameterStatus('standard_conforming_strings', 'on'),
+        createParameterStatus('DateStyle', 'ISO, MDY'),
+        createParameterStatus('integer_datetimes', 'on'),
+        createBackendKeyData(1, 1),
+        createReadyForQuery('idle'),
+      ]),
+    );
+  }
+
+  private async handleFrame(frame: Frame): Promise<void> {
+    if (this.skipToSync && frame.type !== FrontendCode.Sync) return;
+    try {
+      await this.dispatch(frame);
+    } catch (error) {
+      this.reportError(error);
+      if (frame.type === FrontendCode.Query) this.sendReady();
+      else this.skipToSync = true;
+    }
+  }
+
+  private async dispatch({ type, bytes }: Frame): Promise<void> {
+    switch (type) {
+      case FrontendCode.Query:
+        await this.runSimple(parseText(bytes));
+        break;
+      case FrontendCode.Parse:
+        this.parse(bytes);
+        break;
+      case FrontendCode.Bind:
+        this.bind(bytes);
+        break;
+      case FrontendCode.Describe:
+        this.describe(bytes);
+        break;
+      case FrontendCode.Execute:
+        await this.execute(bytes);
+        break;
+      case FrontendCode.Close:
+        this.close(bytes);
+        break;
+      case FrontendCode.Sync:
+        this.skipToSync = false;
+        if (!this.inBlock) this.abandonTransaction();
+        this.sendReady();
+        break;
+      case FrontendCode.Terminate:
+        this.socket.end();
+        break;
+      default:
+        break;
+    }
+  }
+
+  private async runSimple(text: string): Promise<void> {
+    const statements = parseStatements(text);
+    if (statements.length === 0) this.socket.write(createEmptyMessage(BackendCode.EmptyQuery));
+    for (const statement of statements) {
+      const result = await this.run(statement, []);
+      if (result.columns) this.socket.write(createRowDescription(describeColumns(result.columns)));
+      await this.sendRows(result);
+    }
+    this.sendReady();
+  }
+
+  private parse(bytes: Buffer): void {
+    const { name, text } = parseParse(bytes);
+    const statements = parseStatements(text);
+    if (statements.length > 1) throw new SqlFailure('42601', 'one statement at a time');
+    this.statements.set(name, statements[0]);
+    this.socket.write(createEmptyMessage(BackendCode.ParseComplete));
+  }
+
+  private bind(bytes: Buffer): void {
+    const message = parseBind(bytes);
+    if (!this.statements.has(message.statement)) {
+      throw new SqlFailure('26000', `prepared statement "${message.statement}" does not exist`);
+    }
+    const statement = this.statements.get(message.statement);
+    this.portals.set(message.portal, { statement, params: parseBindValues(message) });
+    this.socket.write(createEmptyMessage(BackendCode.BindComplete));
+  }
+
+  private describe(bytes: Buffer): void {
+    const { kind, name } = parseObject(bytes);
+    const statement =
+      kind === 'statement' ? this.statements.get(name) : this.portals.get(name)?.statement;
+    if (kind === 'statement') {
+      const count = statement === undefined ? 0 : countParameters(statement);
+      const types = new Array<number>(count).fill(TYPE_OIDS.text);
+      this.socket.write(createParameterDescription(types));
+    }
+    const columns = statement && describeStatement(statement, this.tables);
+    if (columns) this.socket.write(createRowDescription(describeColumns(columns)));
+    else this.socket.write(createEmptyMessage(BackendCode.NoData));
+  }
+
+  private async execute(bytes: Buffer): Promise<void> {
+    const name = bytes.toString('utf8', 5, bytes.indexOf(0, 5));
+    const portal = this.portals.get(name);
+    if (portal === undefined) throw new SqlFailure('34000', `portal "${name}" does not exist`);
+    if (portal.statement === undefined) {
+      this.socket.write(createEmptyMessage(BackendCode.EmptyQuery));
+      return;
+    }
+    await this.sendRows(await this.run(portal.statement, portal.params));
+  }
+
+  private close(bytes: Buffer): void {
+    const { kind, name } = parseObject(bytes);
+    if (kind === 'statement') this.statements.delete(name);
+    else this.portals.delete(name);
+    this.socket.write(createEmptyMessage(BackendCode.CloseComplete));
+  }
+
+  private async run(statement: Statement, params: readonly SqlValue[]): Promise<StatementResult> {
+    if (this.failed && statement.kind !== 'rollback' && statement.kind !== 'commit') {
+      throw new SqlFailure('25P02', 'current transaction is aborted');
+    }
+    switch (statement.kind) {
+      case 'begin':
+        this.inBlock = true;
+        return { tag: 'BEGIN', rows: [] };
+      case 'commit':
+        return this.commit();
+      case 'rollback':
+        this.abandonTransaction();
+        return { tag: 'ROLLBACK', rows: [] };
+      case 'control':
+        return runControl(this.host.member, statement, params);
+      case 'session':
+        return { tag: 'SET', rows: [] };
+      case 'read':
+        await sleepIfAsked(statement);
+        return executeStatement(statement, { params, tables: this.tables });
+      default:
+        return this.runWrite(statement, params);
+    }
+  }
+
+  private async runWrite(
+    statement: Statement,
+    params: readonly SqlValue[],
+  ): Promise<StatementResult> {
+    this.write ??= await this.host.member.beginWrite();
+    if (this.socket.destroyed) {
+      this.abandonTransaction();
+      throw new SqlFailure('57P01', 'session has ended');
+    }
+    const locking = statement.node === 'SelectStmt';
+    const runnable = locking ? { ...statement, kind: 'read' as const } : statement;
+    const result = executeStatement(runnable, { params, tables: this.write.overlay });
+    if (!this.inBlock) this.commitWrite();
+    return result;
+  }
+
+  private commit(): StatementResult {
+    if (this.failed) {
+      this.abandonTransaction();
+      return { tag: 'ROLLBACK', rows: [] };
+    }
+    this.inBlock = false;
+    this.commitWrite();
+    return { tag: 'COMMIT', rows: [] };
+  }
+
+  private commitWrite(): void {
+    const { write } = this;
+    this.write = undefined;
+    if (write !== undefined) this.host.member.commit(write);
+  }
+
+  private abandonTransaction(): void {
+    this.inBlock = false;
+    this.failed = false;
+    if (this.write !== undefined) this.host.member.rollback(this.write);
+    this.write = undefined;
+  }
+
+  private reportError(error: unknown): void {
+    const failure =
+      error instanceof SqlFailure ? error : new SqlFailure('XX000', (error as Error).message);
+    if (this.inBlock) this.failed = true;
+    else this.abandonTransaction();
+    this.socket.write(createErrorResponse({ code: failure.code, message: failure.message }));
+  }
+
+  private async sendRows(result: StatementResult): Promise<void> {
+    let chunk: Buffer[] = [];
+    let size = 0;
+    for (const row of result.rows) {
+      if (!result.columns) break;
+      const bytes = createDataRow(row.map(formatValue));
+      chunk.push(bytes);
+      size += bytes.length;
+      if (size >= WRITE_CHUNK_BYTES) {
+        await this.writeAndDrain(Buffer.concat(chunk));
+        chunk = [];
+        size = 0;
+      }
+    }
+    chunk.push(createCommandComplete(result.tag));
+    this.socket.write(Buffer.concat(chunk));
+  }
+
+  private async writeAndDrain(bytes: Buffer): Promise<void> {
+    if (this.socket.write(bytes) || this.socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const done = (): void => {
+        this.socket.off('drain', done);
+        this.socket.off('close', done);
+        resolve();
+      };
+      this.socket.on('drain', done);
+      this.socket.on('close', done);
+    });
+  }
+
+  private sendReady(): void {
+    this.socket.write(createReadyForQuery(this.transactionStatus));
+  }
+
+  private get transactionStatus(): TransactionStatus {
+    if (this.failed) return 'failed';
+    return this.inBlock ? 'transaction' : 'idle';
+  }
+
+  private get tables(): TableOverlay {
+    return this.write?.overlay ?? this.host.member.createReader();
+  }
+}
+
+function describeColumns(columns: readonly ResultColumn[]): { name: string; typeOid: number }[] {
+  return columns.map(({ name, type }) => ({ name, typeOid: TYPE_OIDS[type] }));
+}
+
+async function runControl(
+  member: Member,
+  statement: Statement,
+  params: readonly SqlValue[],
+): Promise<StatementResult> {
+  const call = statement.body.targetList[0].ResTarget.val.FuncCall;
+  const name = call.funcname.at(-1).String.sval as string;
+  const handler = CONTROL_FUNCTIONS[name];
+  if (handler === undefined) throw new SqlFailure('42883', `function ${name} does not exist`);
+  const { evaluate } = await import('./sql/evaluate.js');
+  const args = (call.args ?? []).map((arg: unknown) => evaluate(arg, { params }));
+  const answer = JSON.stringify(await handler(member, args));
+  return { tag: 'SELECT 1', columns: [{ name: 'answer', type: 'text' }], rows: [[answer]] };
+}
+
+async function sleepIfAsked(statement: Statement): Promise<void> {
+  const call = statement.body.targetList?.[0]?.ResTarget?.val?.FuncCall;
+  if (call?.funcname.at(-1).String.sval !== 'pg_sleep') return;
+  const constant = call.args[0].A_Const;
+  await delay(Number(constant?.fval?.fval ?? constant?.ival?.ival ?? 0) * 1000);
+}
+
+async function delay(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/stand-ins/src/member/sql/execute-select.ts
@@ -0,0 +1,225 @@
+/** Executes SELECT on one table or none. */
+import { evaluate, type EvaluationScope } from './evaluate.js';
+import type { TableDefinition, TableOverlay } from './table-store.js';
+import { compareValues, SqlFailure, type SqlRow, type SqlType, type SqlValue } from './values.js';
+
+type Tree = Record<string, any>;
+
+/** A column of a result. */
+export interface ResultColumn {
+  readonly name: string;
+  readonly type: SqlType;
+}
+
+/** What a statement gives back. */
+export interface StatementResult {
+  readonly tag: string;
+  /** Undefined for statements that return no rows. */
+  readonly columns?: readonly ResultColumn[];
+  readonly rows: readonly (readonly SqlValue[])[];
+}
+
+const AGGREGATES = new Set(['count', 'sum', 'min', 'max']);
+
+/**
+ * @param select - body of a SelectStmt
+ * @param params - values of the parameters
+ * @param tables - what the transaction sees
+ * @returns the rows
+ */
+export function executeSelect(
+  select: Tree,
+  params: readonly SqlValue[],
+  tables: TableOverlay,
+): StatementResult {
+  const table = findTable(select, tables);
+  const columns = describeTargets(select.targetList ?? [], table);
+  const scope = { params };
+  const matching = table ? [...findRows(table, select.whereClause, scope, tables)] : [{}];
+  const hasAggregate = (select.targetList ?? []).some((target: Tree) => isAggregate(target));
+  const chosen = hasAggregate ? matching : sortAndLimit(select, matching, scope);
+  const rows = hasAggregate
+    ? [projectAggregates(select.targetList, chosen, params)]
+    : chosen.map((row) => projectRow(select.targetList ?? [], row, params, table));
+  return { tag: `SELECT ${rows.length}`, columns, rows };
+}
+
+/**
+ * @param table - where to look
+ * @param where - condition, if any
+ * @param scope - parameters
+ * @param tables - what the transaction sees
+ * @returns the rows for which the condition holds
+ */
+export function findRows(
+  table: TableDefinition,
+  where: unknown,
+  scope: EvaluationScope,
+  tables: TableOverlay,
+): SqlRow[] {
+  const key = findKey(table, where, scope);
+  if (key !== undefined) {
+    const row = tables.get(table.name, key);
+    return row ? [row] : [];
+  }
+  const rows: SqlRow[] = [];
+  for (const [, row] of tables.scan(table.name)) {
+    if (where === undefined || evaluate(where, { ...scope, row }) === true) rows.push(row);
+  }
+  return rows;
+}
+
+/**
+ * @param table - the table
+ * @param row - one of its rows
+ * @returns text that identifies the row
+ */
+export function resolveRowKey(table: TableDefinition, row: SqlRow): string | undefined {
+  if (table.primaryKey.length === 0) return undefined;
+  return JSON.stringify(table.primaryKey.map((name) => row[name]));
+}
+
+/**
+ * @param targets - target list of a SELECT or RETURNING
+ * @param table - the table that it refers to, if any
+ * @returns names and types of the columns
+ */
+export function describeTargets(
+  targets: Tree[],
+  table: TableDefinition | undefined,
+): ResultColumn[] {
+  return targets.flatMap((target) => {
+    const { name, val } = target.ResTarget as Tree;
+    if (val.ColumnRef?.fields.at(-1).A_Star) return [...(table?.columns ?? [])];
+    return [{ name: name ?? resolveTargetName(val), type: resolveTargetType(val, table) }];
+  });
+}
+
+/**
+ * @param targets - target list
+ * @param row - row that it refers to
+ * @param params - values of the parameters
+ * @param table - the row's table, if any
+ * @returns the values
+ */
+export function projectRow(
+  targets: Tree[],
+  row: SqlRow,
+  params: readonly SqlValue[],
+  table: TableDefinition | undefined,
+): SqlValue[] {
+  return targets.flatMap((target) => {
+    const { val } = target.ResTarget as Tree;
+    if (val.ColumnRef?.fields.at(-1).A_Star) {
+      return (table?.columns ?? []).map(({ name }) => row[name] ?? null);
+    }
+    return [evaluate(val, { params, row })];
+  });
+}
+
+function findTable(select: Tree, tables: TableOverlay): TableDefinition | undefined {
+  const from: Tree[] = select.fromClause ?? [];
+  if (from.length === 0) return undefined;
+  const name = from[0]?.RangeVar?.relname as string | undefined;
+  if (from.length > 1 || name === undefined || select.groupClause) {
+    throw new SqlFailure('0A000', 'the stand-in selects from one table only');
+  }
+  return tables.resolveDefinition(name);
+}
+
+/** Finds `key = value` for a single-column primary key, which spares the scan. */
+function findKey(
+  table: TableDefinition,
+  where: unknown,
+  scope: EvaluationScope,
+): string | undefined {
+  const expression = (where as Tree | undefined)?.A_Expr as Tree | undefined;
+  if (expression?.kind !== 'AEXPR_OP' || expression.name[0].String.sval !== '=') return undefined;
+  const column = expression.lexpr?.ColumnRef?.fields.at(-1)?.String?.sval as string | undefined;
+  if (table.primaryKey.length !== 1 || column !== table.primaryKey[0]) return undefined;
+  if (!expression.rexpr?.A_Const && !expression.rexpr?.ParamRef) return undefined;
+  const type = table.columns.find(({ name }) => name === column)?.type;
+  const value = evaluate(expression.rexpr, scope);
+  const numeric = type === 'int4' || type === 'int8';
+  return JSON.stringify([numeric && value !== null ? Number(value) : value]);
+}
+
+function sortAndLimit(select: Tree, rows: SqlRow[], scope: EvaluationScope): SqlRow[] {
+  const sorted = select.sortClause ? [...rows] : rows;
+  for (const clause of [...(select.sortClause ?? [])].reverse()) {
+    const { node, sortby_dir: direction } = clause.SortBy;
+    const sign = direction === 'SORTBY_DESC' ? -1 : 1;
+    sorted.sort((left, right) => {
+      const a = evaluate(node, { ...scope, row: left });
+      const b = evaluate(node, { ...scope, row: right });
+      return sign * (compareValues(a, b) ?? Number(a === null) - Number(b === null));
+    });
+  }
+  const offset = select.limitOffset ? Number(evaluate(select.limitOffset, scope)) : 0;
+  const limit = select.limitCount ? Number(evaluate(select.limitCount, scope)) : sorted.length;
+  return sorted.slice(offset, offset + limit);
+}
+
+function isAggregate(target: Tree): boolean {
+  const call = target.ResTarget?.val?.FuncCall;
+  return call !== undefined && AGGREGATES.has(call.funcname.at(-1).String.sval);
+}
+
+function projectAggregates(
+  targets: Tree[],
+  rows: SqlRow[],
+  params: readonly SqlValue[],
+): SqlValue[] {
+  return targets.map((target) => {
+    const { val } = target.ResTarget as Tree;
+    if (!isAggregate(target)) return rows[0] ? evaluate(val, { params, row: rows[0] }) : null;
+    return computeAggregate(val.FuncCall, rows, params);
+  });
+}
+
+function computeAggregate(call: Tree, rows: SqlRow[], params: readonly SqlValue[]): SqlValue {
+  const name = call.funcname.at(-1).String.sval as string;
+  if (call.agg_star) return rows.length;
+  const values = rows
+    .map((row) => evaluate(call.args[0], { params, row }))
+    .filter((value) => value !== null);
+  if (name === 'count') return values.length;
+  if (values.length === 0) return null;
+  if (name === 'sum') return values.reduce<number>((sum, value) => sum + Number(value), 0);
+  const sorted = [...values].sort((left, right) => compareValues(left, right) ?? 0);
+  return (name === 'min' ? sorted[0] : sorted.at(-1)) ?? null;
+}
+
+function resolveTargetName(val: Tree): string {
+  if (val.ColumnRef) return val.ColumnRef.fields.at(-1).String.sval;
+  if (val.FuncCall) return val.FuncCall.funcname.at(-1).String.sval;
+  if (val.TypeCast) return resolveTargetName(val.TypeCast.arg);
+  return '?column?';
+}
+
+function resolveTargetType(val: Tree, table: TableDefinition | undefined): SqlType {
+  if (val.ColumnRef) {
+    const name = val.ColumnRef.fields.at(-1).String.sval;
+    return table?.columns.find((column) => column.name === name)?.type ?? 'text';
+  }
+  if (val.FuncCall) return resolveFunctionType(val.FuncCall, table);
+  if (val.A_Const?.ival) return 'int4';
+  if (val.A_Const?.boolval || val.BoolExpr || val.NullTest) return 'bool';
+  if (val.A_Expr) return resolveOperatorType(val.A_Expr, table);
+  return 'text';
+}
+
+function resolveFunctionType(call: Tree, table: TableDefinition | undefined): SqlType {
+  const name = call.funcname.at(-1).String.sval as string;
+  if (name === 'count' || name === 'sum') return 'int8';
+  if (name === 'length') return 'int4';
+  if (name === 'min' || name === 'max') return resolveTargetType(call.args[0], table);
+  return 'text';
+}
+
+function resolveOperatorType(expression: Tree, table: TableDefinition | undefined): SqlType {
+  const operator = expression.name[0].String.sval as string;
+  if (operator === '||') return 'text';
+  if (!'+-*/%'.includes(operator)) return 'bool';
+  return expression.lexpr ? resolveTargetType(expression.lexpr, table) : 'int4';
+}
--- /dev/null
+++ b/packages/stand-ins/src/member/sql/execute-write.ts
@@ -0,0 +1,201 @@
+/** Executes INSERT, UPDATE, DELETE and table definitions. */
+import { evaluate } from './evaluate.js';
+import {
+  describeTargets,
+  findRows,
+  projectRow,
+  resolveRowKey,
+  type StatementResult,
+} from './execute-select.js';
+import type { ColumnDefinition, TableDefinition, TableOverlay } from './table-store.js';
+import { convertValue, resolveSqlType, SqlFailure, type SqlRow, type SqlValue } from './values.js';
+
+type Tree = Record<string, any>;
+
+/** Everything that a statement needs to run. */
+export interface WriteContext {
+  readonly params: readonly SqlValue[];
+  readonly tables: TableOverlay;
+}
+
+/** @returns result of an INSERT */
+export function executeInsert(insert: Tree, context: WriteContext): StatementResult {
+  const table = context.tables.resolveDefinition(insert.relation.relname);
+  const names: string[] = (insert.cols ?? []).map((col: Tree) => col.ResTarget.name);
+  const targets = names.length > 0 ? names : table.columns.map(({ name }) => name);
+  const written: SqlRow[] = [];
+  for (const list of insert.selectStmt?.SelectStmt?.valuesLists ?? []) {
+    const row = buildRow(table, targets, list.List.items, context);
+    const result = insertRow(table, row, insert.onConflictClause, context);
+    if (result !== undefined) written.push(result);
+  }
+  return createResult(`INSERT 0 ${written.length}`, insert, table, written, context);
+}
+
+/** @returns result of an UPDATE */
+export function executeUpdate(update: Tree, context: WriteContext): StatementResult {
+  const table = context.tables.resolveDefinition(update.relation.relname);
+  const rows = findRows(table, update.whereClause, context, context.tables);
+  const written = rows.map((row) => updateRow(table, row, update.targetList, { ...context, row }));
+  return createResult(`UPDATE ${written.length}`, update, table, written, context);
+}
+
+/** @returns result of a DELETE */
+export function executeDelete(statement: Tree, context: WriteContext): StatementResult {
+  const table = context.tables.resolveDefinition(statement.relation.relname);
+  const rows = findRows(table, statement.whereClause, context, context.tables);
+  for (const row of rows) context.tables.delete(table.name, keyOf(table, row));
+  return createResult(`DELETE ${rows.length}`, statement, table, rows, context);
+}
+
+/** @returns result of a CREATE TABLE */
+export function executeCreate(create: Tree, context: WriteContext): StatementResult {
+  const name = create.relation.relname as string;
+  if (context.tables.findDefinition(name)) {
+    if (create.if_not_exists) return { tag: 'CREATE TABLE', rows: [] };
+    throw new SqlFailure('42P07', `relation "${name}" already exists`);
+  }
+  context.tables.createTable(createDefinition(name, create.tableElts));
+  return { tag: 'CREATE TABLE', rows: [] };
+}
+
+/** @returns result of a DROP TABLE */
+export function executeDrop(drop: Tree, context: WriteContext): StatementResult {
+  for (const object of drop.objects) {
+    const name = object.List.items.at(-1).String.sval as string;
+    if (!context.tables.findDefinition(name)) {
+      if (drop.missing_ok) continue;
+      throw new SqlFailure('42P01', `table "${name}" does not exist`);
+    }
+    context.tables.dropTable(name);
+  }
+  return { tag: 'DROP TABLE', rows: [] };
+}
+
+function createResult(
+  tag: string,
+  statement: Tree,
+  table: TableDefinition,
+  written: readonly SqlRow[],
+  context: WriteContext,
+): StatementResult {
+  const targets: Tree[] | undefined = statement.returningClause?.exprs ?? statement.returningList;
+  if (targets === undefined) return { tag, rows: [] };
+  const rows = written.map((row) => projectRow(targets, row, context.params, table));
+  return { tag, columns: describeTargets(targets, table), rows };
+}
+
+/** Column that identifies rows of tables without a primary key. */
+const HIDDEN_KEY = '__row';
+
+function keyOf(table: TableDefinition, row: SqlRow): string {
+  return resolveRowKey(table, row) ?? String(row[HIDDEN_KEY]);
+}
+
+function buildRow(
+  table: TableDefinition,
+  names: readonly string[],
+  items: readonly Tree[],
+  context: WriteContext,
+): SqlRow {
+  const row: Record<string, SqlValue> = {};
+  for (const column of table.columns) {
+    const index = names.indexOf(column.name);
+    const item = index < 0 ? undefined : items[index];
+    row[column.name] =
+      item === undefined || item.SetToDefault
+        ? resolveDefault(table, column, context)
+        : convertValue(evaluate(item, context), column.type);
+    checkNotNull(table, column, row[column.name] ?? null);
+  }
+  const unknown = names.find((name) => !table.columns.some((column) => column.name === name));
+  if (unknown !== undefined) throw new SqlFailure('42703', `column "${unknown}" does not exist`);
+  if (table.primaryKey.length === 0) row[HIDDEN_KEY] = context.tables.takeSerial(table.name);
+  return row;
+}
+
+function resolveDefault(
+  table: TableDefinition,
+  column: ColumnDefinition,
+  context: WriteContext,
+): SqlValue {
+  if (column.serial) return context.tables.takeSerial(table.name);
+  if (column.defaultValue === undefined) return null;
+  return convertValue(evaluate(column.defaultValue, context), column.type);
+}
+
+function checkNotNull(table: TableDefinition, column: ColumnDefinition, value: SqlValue): void {
+  if (value !== null || !column.notNull) return;
+  const message = `null value in column "${column.name}" of relation "${table.name}"`;
+  throw new SqlFailure('23502', message);
+}
+
+function insertRow(
+  table: TableDefinition,
+  row: SqlRow,
+  conflict: Tree | undefined,
+  context: WriteContext,
+): SqlRow | undefined {
+  const key = keyOf(table, row);
+  const existing = context.tables.get(table.name, key);
+  if (existing === undefined) {
+    context.tables.put(table.name, key, row);
+    return row;
+  }
+  if (conflict?.action === 'ONCONFLICT_NOTHING') return undefined;
+  if (conflict?.action === 'ONCONFLICT_UPDATE') {
+    const scope = { ...context, row: existing, excluded: row };
+    return updateRow(table, existing, conflict.targetList, scope);
+  }
+  throw new SqlFailure(
+    '23505',
+    `duplicate key value violates unique constraint "${table.name}_pkey"`,
+  );
+}
+
+function updateRow(
+  table: TableDefinition,
+  row: SqlRow,
+  targets: readonly Tree[],
+  scope: WriteContext & { row: SqlRow; excluded?: SqlRow },
+): SqlRow {
+  const next: Record<string, SqlValue> = { ...row };
+  for (const target of targets) {
+    const { name, val } = target.ResTarget;
+    const column = table.columns.find((candidate) => candidate.name === name);
+    if (!column) throw new SqlFailure('42703', `column "${name}" does not exist`);
+    next[name] = convertValue(evaluate(val, scope), column.type);
+    checkNotNull(table, column, next[name] ?? null);
+  }
+  const [oldKey, newKey] = [keyOf(table, row), keyOf(table, next)];
+  if (oldKey !== newKey) scope.tables.delete(table.name, oldKey);
+  scope.tables.put(table.name, newKey, next);
+  return next;
+}
+
+function createDefinition(name: string, elements: readonly Tree[]): TableDefinition {
+  const columns: ColumnDefinition[] = [];
+  const primaryKey: string[] = [];
+  for (const element of elements) {
+    if (element.ColumnDef) columns.push(createColumn(element.ColumnDef, primaryKey));
+    else if (element.Constraint?.contype === 'CONSTR_PRIMARY') {
+      primaryKey.push(...element.Constraint.keys.map((key: Tree) => key.String.sval));
+    }
+  }
+  return { name, columns, primaryKey };
+}
+
+function createColumn(definition: Tree, primaryKey: string[]): ColumnDefinition {
+  const typeName = definition.typeName.names.at(-1).String.sval as string;
+  const constraints: Tree[] = (definition.constraints ?? []).map((item: Tree) => item.Constraint);
+  const isKey = constraints.some(({ contype }) => contype === 'CONSTR_PRIMARY');
+  if (isKey) primaryKey.push(definition.colname);
+  const fallback = constraints.find(({ contype }) => contype === 'CONSTR_DEFAULT');
+  return {
+    name: definition.colname,
+    type: resolveSqlType(typeName),
+    notNull: isKey || constraints.some(({ contype }) => contype === 'CONSTR_NOTNULL'),
+    serial: typeName.includes('serial'),
+    defaultValue: fallback?.raw_expr,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/member/sql/values.ts
@@ -0,0 +1,105 @@
+/** Values of the stand-in's small SQL dialect. */
+
+/** A value held in a row. */
+export type SqlValue = string | number | boolean | null;
+
+/** A row: values by column name. */
+export type SqlRow = Readonly<Record<string, SqlValue>>;
+
+/** An error that a client is told of, with its SQLSTATE. */
+export class SqlFailure extends Error {
+  constructor(
+    readonly code: string,
+    message: string,
+  ) {
+    super(message);
+    this.name = 'SqlFailure';
+  }
+}
+
+/** OIDs of the types that are told apart. */
+export const TYPE_OIDS = {
+  bool: 16,
+  int8: 20,
+  int4: 23,
+  text: 25,
+  json: 114,
+  float8: 701,
+  timestamptz: 1184,
+  numeric: 1700,
+} as const;
+
+/** Name of a type that is told apart. */
+export type SqlType = keyof typeof TYPE_OIDS;
+
+const TYPE_ALIASES: Record<string, SqlType> = {
+  bool: 'bool',
+  int2: 'int4',
+  int4: 'int4',
+  int8: 'int8',
+  serial: 'int4',
+  bigserial: 'int8',
+  float4: 'float8',
+  float8: 'float8',
+  numeric: 'numeric',
+  timestamptz: 'timestamptz',
+  timestamp: 'timestamptz',
+  json: 'json',
+  jsonb: 'json',
+};
+
+/**
+ * @param name - name of a type as the grammar gives it
+ * @returns the type that stands for it; text if it is none of the known ones
+ */
+export function resolveSqlType(name: string): SqlType {
+  return TYPE_ALIASES[name] ?? 'text';
+}
+
+/**
+ * Converts a value to a column's type.
+ *
+ * @param value - value as given
+ * @param type - the column's type
+ * @returns the value as it is kept
+ * @throws SqlFailure if it cannot be read as that type
+ */
+export function convertValue(value: SqlValue, type: SqlType): SqlValue {
+  if (value === null) return null;
+  if (type === 'bool') return value === true || value === 't' || value === 'true';
+  if (type === 'int4' || type === 'int8' || type === 'float8' || type === 'numeric') {
+    const number = Number(value);
+    if (Number.isNaN(number)) {
+      throw new SqlFailure('22P02', `invalid input syntax for type ${type}: "${value}"`);
+    }
+    return number;
+  }
+  return String(value);
+}
+
+/**
+ * @param value - a value
+ * @returns its text on the wire
+ */
+export function formatValue(value: SqlValue): string | null {
+  if (value === null) return null;
+  if (typeof value === 'boolean') return value ? 't' : 'f';
+  return String(value);
+}
+
+/**
+ * Compares two values as SQL does.
+ *
+ * @param left - one value
+ * @param right - the other
+ * @returns negative, zero or positive; undefined if either is NULL
+ */
+export function compareValues(left: SqlValue, right: SqlValue): number | undefined {
+  if (left === null || right === null) return undefined;
+  if (typeof left === 'number' || typeof right === 'number') return Number(left) - Number(right);
+  if (typeof left === 'boolean' || typeof right === 'boolean') {
+    return Number(convertValue(left, 'bool')) - Number(convertValue(right, 'bool'));
+  }
+  if (left === right) return 0;
+  return left < right ? -1 : 1;
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -0,0 +1,259 @@
+/** The stand-in platform: etcd's JSON gateway over a small store, a lagging list, and faults. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  KeyValueStore,
+  type StoreCompare,
+  type StoredKey,
+  type StoreEvent,
+  type StoreOperation,
+  VALUE_LIMIT_BYTES,
+} from './key-value-store.js';
+
+/** Faults that a test switches on. */
+export interface PlatformFaults {
+  /** Connections are cut without an answer. */
+  down: boolean;
+  /** Delay of each answer, in milliseconds. */
+  slowMs: number;
+  /** Changes take effect, but their answer is cut off. */
+  loseAnswers: boolean;
+}
+
+/** An instance as the platform lists it. */
+export interface ListedInstance {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly host: string;
+  readonly peerPort: number;
+  readonly state: 'alive' | 'leaving';
+}
+
+/** Settings of the stand-in platform. */
+export interface PlatformConfig {
+  readonly host: string;
+  readonly port: number;
+  /** How late the list of instances is, in milliseconds. */
+  readonly listLagMs: number;
+}
+
+type Json = Record<string, any>;
+
+const WATCH_PROGRESS_MS = 1000;
+
+/** Serves the store and the list over HTTP. */
+export class PlatformServer {
+  readonly store = new KeyValueStore();
+
+  readonly faults: PlatformFaults = { down: false, slowMs: 0, loseAnswers: false };
+
+  /** Calls so far by path. */
+  readonly calls = new Map<string, number>();
+
+  private instances: readonly ListedInstance[] = [];
+
+  private readonly server: Server;
+
+  private readonly watches = new Set<ServerResponse>();
+
+  /** @param config - address and lag */
+  constructor(private readonly config: PlatformConfig) {
+    this.server = createServer((request, response) => {
+      void this.handle(request, response);
+    });
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.config.port, this.config.host, resolve);
+    });
+  }
+
+  /** Ends everything at once. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * Switches faults on or off.
+   *
+   * @param faults - those to change
+   */
+  setFaults(faults: Partial<PlatformFaults>): void {
+    Object.assign(this.faults, faults);
+    if (!this.faults.down) return;
+    for (const watch of this.watches) watch.destroy();
+    this.watches.clear();
+  }
+
+  /**
+   * Sets the list of instances, which callers see after the lag.
+   *
+   * @param instances - instances that live or leave
+   */
+  setInstances(instances: readonly ListedInstance[]): void {
+    setTimeout(() => {
+      this.instances = instances;
+    }, this.config.listLagMs).unref();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? '/';
+    const body = await readBody(request);
+    if (path === '/stand-in/faults') {
+      this.setFaults(body);
+      response.end('{}');
+      return;
+    }
+    if (path === '/stand-in/calls') {
+      response.end(JSON.stringify(Object.fromEntries(this.calls)));
+      return;
+    }
+    if (path === '/stand-in/instances') {
+      this.setInstances(body.instances);
+      response.end('{}');
+      return;
+    }
+    this.calls.set(path, (this.calls.get(path) ?? 0) + 1);
+    if (this.faults.down) {
+      request.socket.destroy();
+      return;
+    }
+    if (this.faults.slowMs > 0) await delay(this.faults.slowMs);
+    this.route(path, body, request, response);
+  }
+
+  private route(
+    path: string,
+    body: Json,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (path === '/v3/watch') {
+      this.watch(body.create_request, response);
+      return;
+    }
+    const answer = this.answer(path, body);
+    if (this.faults.loseAnswers && path === '/v3/kv/txn') {
+      request.socket.destroy();
+      return;
+    }
+    response.statusCode = answer === undefined ? 404 : 200;
+    response.setHeader('content-type', 'application/json');
+    response.end(JSON.stringify(answer ?? { error: 'no such path' }));
+  }
+
+  private answer(path: string, body: Json): Json | undefined {
+    if (path === '/v3/kv/range') return this.range(body);
+    if (path === '/v3/kv/txn') return this.transact(body);
+    if (path === '/v3/maintenance/status') return this.createHeader();
+    if (path === '/instances') return { instances: this.instances };
+    return undefined;
+  }
+
+  private createHeader(): Json {
+    return { header: { revision: String(this.store.revision) } };
+  }
+
+  private range(body: Json): Json {
+    const kvs = this.store.range(decode(body.key), body.range_end && decode(body.range_end));
+    return { ...this.createHeader(), kvs: kvs.map(encodeKey), count: String(kvs.length) };
+  }
+
+  private transact(body: Json): Json {
+    const compares = (body.compare ?? []).map((item: Json): StoreCompare => ({
+      key: decode(item.key),
+      modRevision: Number(item.mod_revision ?? 0),
+    }));
+    const success = (body.success ?? []).map(decodeOperation) as StoreOperation[];
+    const failure = (body.failure ?? []).map(decodeOperation) as StoreOperation[];
+    if (success.some((o) => o.kind === 'put' && o.value.length > VALUE_LIMIT_BYTES)) {
+      return { error: 'value too large', code: 3 };
+    }
+    const outcome = this.store.transact(compares, success, failure);
+    return {
+      header: { revision: String(outcome.revision) },
+      succeeded: outcome.succeeded,
+      responses: outcome.ranges.map((kvs) => ({ response_range: { kvs: kvs.map(encodeKey) } })),
+    };
+  }
+
+  private watch(request: Json, response: ServerResponse): void {
+    const [key, end] = [decode(request.key), decode(request.range_end)];
+    const isWatched = (event: StoreEvent): boolean => event.key >= key && event.key < end;
+    const send = (result: Json): void => {
+      response.write(`${JSON.stringify({ result: { ...this.createHeader(), ...result } })}\n`);
+    };
+    const sendEvents = (events: readonly StoreEvent[]): void => {
+      const watched = events.filter(isWatched);
+      if (watched.length > 0) send({ events: watched.map(encodeEvent) });
+    };
+    this.watches.add(response);
+    send({ created: true });
+    sendEvents(this.store.eventsFrom(Number(request.start_revision ?? this.store.revision + 1)));
+    const stopWatch = this.store.watch(sendEvents);
+    const timer = setInterval(() => send({}), WATCH_PROGRESS_MS);
+    response.on('close', () => {
+      clearInterval(timer);
+      stopWatch();
+      this.watches.delete(response);
+    });
+  }
+}
+
+function decodeOperation(item: Json): StoreOperation {
+  if (item.request_put) {
+    return {
+      kind: 'put',
+      key: decode(item.request_put.key),
+      value: decode(item.request_put.value),
+    };
+  }
+  if (item.request_delete_range) {
+    return { kind: 'delete', key: decode(item.request_delete_range.key) };
+  }
+  const { key, range_end: end } = item.request_range;
+  return { kind: 'range', key: decode(key), rangeEnd: end && decode(end) };
+}
+
+function encodeKey(stored: StoredKey): Json {
+  return {
+    key: encode(stored.key),
+    value: encode(stored.value),
+    create_revision: String(stored.createRevision),
+    mod_revision: String(stored.modRevision),
+    version: String(stored.version),
+  };
+}
+
+function encodeEvent(event: StoreEvent): Json {
+  const kv = {
+    key: encode(event.key),
+    value: encode(event.value),
+    mod_revision: String(event.modRevision),
+  };
+  return event.type === 'PUT' ? { kv } : { type: 'DELETE', kv };
+}
+
+function encode(text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64');
+}
+
+function decode(text: string): string {
+  return Buffer.from(text ?? '', 'base64').toString('utf8');
+}
+
+async function readBody(request: IncomingMessage): Promise<Json> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString('utf8');
+  return text === '' ? {} : (JSON.parse(text) as Json);
+}
+
+async function delay(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
