Let watchers act one after another, and run the fleet as processes

Cause: with a primary killed in the local fleet the two watchers that suspected it fenced at the same moment, each got one promise, and terms rose in a duel; a new primary was suspected again 0.7 s after its promotion because the promise of the failed ballot stood above its term.

Ruled out: a longer suspicion (it lengthens every change, and two watchers still start together).

Sessions are ended at a stop only after a quiet moment: one caller had been refused right after connecting.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -97,7 +97,7 @@
   },
   {
     files: sourceOf('daemon'),
-    ignores: ['packages/daemon/src/embedded/**'],
+    ignores: ['packages/daemon/src/embedded/**', 'packages/daemon/src/bin/embedded.ts'],
     rules: {
       'no-restricted-imports': [
         'error',
--- a/packages/core/src/failover/group-watcher.ts
+++ b/packages/core/src/failover/group-watcher.ts
@@ -28,6 +28,8 @@
   readonly opinionLifeMs: number;
   /** An attempt that has not ended by then is given up. */
   readonly attemptTimeoutMs: number;
+  /** Time by which watchers that suspect together act one after another. */
+  readonly staggerMs: number;
   /** Longest random wait after an attempt that failed. */
   readonly backoffMs: number;
   /** How long a planned change waits for open transactions and replicas. */
@@ -41,6 +43,7 @@
   suspectAfterMs: 700,
   opinionLifeMs: 1000,
   attemptTimeoutMs: 1500,
+  staggerMs: 400,
   backoffMs: 400,
   handoverGraceMs: 2000,
 };
@@ -103,6 +106,9 @@
   readonly startedAt: Milliseconds;
 }
 
+/** Probes in a row that a primary's machine must refuse before its process is taken for gone. */
+const REFUSALS_OF_A_CRASH = 2;
+
 interface PendingOrder {
   readonly member: MemberId;
   readonly order: MemberOrder;
@@ -131,6 +137,16 @@
 
   private suspected = false;
 
+  /** Since when enough failure domains have agreed that the primary is to be replaced. */
+  private evidenceSince: Milliseconds | undefined;
+
+  /** When a member was last seen to have promised a term to another watcher. */
+  private foreignPromiseAt: Milliseconds | undefined;
+
+  private newestPrimaryTerm = 0;
+
+  private refusals = 0;
+
   private attempt: Attempt | undefined;
 
   private handover: Handover | undefined;
@@ -197,7 +213,7 @@
     const pending = this.pending.get(token);
     if (pending === undefined) return [];
     this.pending.delete(token);
-    if (typeof answer === 'string') this.noteUnreachable(pending.member);
+    if (typeof answer === 'string') this.noteUnreachable(pending.member, answer);
     else this.noteStatus(pending, answer, now);
     this.judge(now);
     return this.takeActions();
@@ -264,7 +280,8 @@
     this.actions.push({ kind: 'order', member, order, token });
   }
 
-  private noteUnreachable(member: MemberId): void {
+  private noteUnreachable(member: MemberId, how: 'refused' | 'silent'): void {
+    if (member === this.findPrimary()?.member && how === 'refused') this.refusals += 1;
     const view = this.views.get(member);
     if (view !== undefined) this.views.set(member, { ...view, reachable: false });
   }
@@ -274,6 +291,7 @@
     // Answers may cross; a member's promise and term never go back.
     const isOld = known !== undefined && isOlderStatus(answer.status, known.status);
     if (!isOld) {
+      this.noteProgress(answer.status, now);
       this.views.set(pending.member, { status: answer.status, observedAt: now, reachable: true });
     }
     if (this.isHealthy(answer.status)) {
@@ -284,6 +302,20 @@
     if (pending.order.kind === 'promote') this.notePromotion(pending, answer, now);
   }
 
+  /** Watches for promises given to others, and for primaries that have just been made. */
+  private noteProgress(status: MemberStatus, now: Milliseconds): void {
+    const ownTerm = this.attempt?.ballot.term;
+    if (status.promisedTerm > this.highestTerm() && status.promisedTerm !== ownTerm) {
+      this.foreignPromiseAt = now;
+    }
+    if (status.role !== 'primary') return;
+    this.refusals = 0;
+    if (status.term <= this.newestPrimaryTerm) return;
+    this.newestPrimaryTerm = status.term;
+    // A new primary gets the full time to gather its replicas.
+    this.healthyAt = now;
+  }
+
   private isHealthy(status: MemberStatus): boolean {
     if (status.role !== 'primary' || status.term < this.highestTerm()) return false;
     return status.hasMajority;
@@ -307,7 +339,8 @@
 
   private judge(now: Milliseconds): void {
     const wasSuspected = this.suspected;
-    this.suspected = now - (this.healthyAt ?? now) >= this.timings.suspectAfterMs;
+    const isOverdue = now - (this.healthyAt ?? now) >= this.timings.suspectAfterMs;
+    this.suspected = isOverdue || this.refusals >= REFUSALS_OF_A_CRASH;
     if (this.suspected && !wasSuspected) this.log('suspected', this.findPrimary()?.member);
     if (this.suspected) this.considerAttempt(now);
     else this.reconcile(now);
@@ -315,8 +348,25 @@
 
   private considerAttempt(now: Milliseconds): void {
     if (this.attempt !== undefined || now < this.waitUntil) return;
-    if (!this.hasEvidence(now) || !this.reachesMajority()) return;
-    this.startAttempt(now);
+    if (!this.hasEvidence(now) || !this.reachesMajority()) {
+      this.evidenceSince = undefined;
+      return;
+    }
+    this.evidenceSince ??= now;
+    const { staggerMs } = this.timings;
+    const isTurn = now - this.evidenceSince >= this.resolveRank(now) * staggerMs;
+    const isOtherActing = now - (this.foreignPromiseAt ?? -Infinity) < staggerMs;
+    if (isTurn && !isOtherActing) this.startAttempt(now);
+  }
+
+  /** @returns how many other watchers that suspect come before this one */
+  private resolveRank(now: Milliseconds): number {
+    let rank = 0;
+    for (const { opinion, at } of this.opinions.values()) {
+      const counts = now - at <= this.timings.opinionLifeMs && opinion.suspects;
+      if (counts && opinion.watcher < this.identity.instance) rank += 1;
+    }
+    return rank;
   }
 
   /** Watchers in a majority of the failure domains must agree, so that a cut-off one cannot act. */
@@ -392,9 +442,10 @@
     this.log('promoted', pending.member, attempt.ballot.term);
     this.attempt = undefined;
     this.handover = undefined;
-    // The new primary gets the full time to gather its replicas.
     this.healthyAt = now;
+    this.refusals = 0;
     this.suspected = false;
+    this.evidenceSince = undefined;
     this.reconcile(now);
     this.actions.push({ kind: 'publish', view: this.view });
   }
--- a/packages/daemon/src/bin/embedded.ts
+++ b/packages/daemon/src/bin/embedded.ts
@@ -3,7 +3,8 @@
 import { join } from 'node:path';
 import { formatFinding } from '@heatherledge/core';
 import { pino } from 'pino';
-import { EmbeddedFleet, readOperatorSettings } from '../embedded/embedded-fleet.js';
+import { readPlannedSettings } from '@heatherledge/stand-ins';
+import { EmbeddedFleet } from '../embedded/embedded-fleet.js';
 import { loadProcessSettings } from '../process-settings/load.js';
 
 const folder = process.argv[2] ?? 'examples/embedded';
@@ -17,7 +18,7 @@
 const logger = pino({ level: config.logs.level, base: { instance, failureDomain } });
 const fleet = new EmbeddedFleet(
   config,
-  readOperatorSettings(join(folder, 'settings.jsonc')),
+  readPlannedSettings(join(folder, 'settings.jsonc')),
   logger,
 );
 const stop = (): void => {
--- a/packages/daemon/src/callers/caller-listener.ts
+++ b/packages/daemon/src/callers/caller-listener.ts
@@ -13,6 +13,10 @@
 }
 
 const DRAIN_STEP_MS = 20;
+/** A caller that was heard within this time may be about to send a request. */
+const QUIET_MS = 500;
+/** After this, sessions are ended between any two requests. */
+const LONGEST_COURTESY_MS = 3000;
 const LARGEST_INT32 = 2_147_483_647;
 
 /** Owns the callers' connections. */
@@ -104,9 +108,13 @@
    */
   async drain(waitMs: number): Promise<void> {
     this.stopping = true;
-    const deadline = performance.now() + waitMs;
-    for (const { session } of this.connections) session?.stop();
-    while (this.connections.size > 0 && performance.now() < deadline) await delay(DRAIN_STEP_MS);
+    const started = performance.now();
+    const deadline = started + waitMs;
+    while (this.connections.size > 0 && performance.now() < deadline) {
+      const isLate = performance.now() - started >= LONGEST_COURTESY_MS;
+      for (const { session } of this.connections) session?.stop(isLate ? 0 : QUIET_MS);
+      await delay(DRAIN_STEP_MS);
+    }
   }
 
   /** Stops listening and ends what is left. */
--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -5,6 +5,7 @@
   instanceStopping,
   keyRejected,
   keyWithdrawn,
+  type Milliseconds,
   parameterRejected,
   positionRejected,
   protocolViolation,
@@ -69,7 +70,7 @@
 
   private ended = false;
 
-  private stopping = false;
+  private heardAt: Milliseconds;
 
   constructor(
     private readonly context: ServingContext,
@@ -80,6 +81,7 @@
     const leases = new LeaseSource(context, state);
     this.reads = new ReadExecutor(context, state, leases, port);
     this.transactions = new TransactionExecutor(context, state, leases, port);
+    this.heardAt = context.clock.now();
   }
 
   /**
@@ -121,10 +123,14 @@
     return !this.running && this.queue.length === 0 && this.transactions.status === 'idle';
   }
 
-  /** Ends the session between requests: at once if it is idle, or after its transaction. */
-  stop(): void {
-    this.stopping = true;
-    if (this.isIdle) this.fail(ProxyError.create(instanceStopping, undefined));
+  /**
+   * Ends the session if it is between requests.
+   *
+   * @param quietMs - a caller that was heard within this time may be about to send a request
+   */
+  stop(quietMs: number): void {
+    const isQuiet = this.context.clock.now() - this.heardAt >= quietMs;
+    if (this.isIdle && isQuiet) this.fail(ProxyError.create(instanceStopping, undefined));
   }
 
   /** Ends the session if its key is no longer in force; a running request is left to finish. */
@@ -166,9 +172,7 @@
       if (this.queue.length === 0) this.port.setPaused(false);
     }
     this.running = false;
-    if (this.stopping && !this.ended && this.isIdle) {
-      this.fail(ProxyError.create(instanceStopping, undefined));
-    }
+    this.heardAt = this.context.clock.now();
   }
 
   private async runUnit(unit: RequestUnit): Promise<void> {
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './workload/caller.js';
+export * from './workload/roaming-session.js';
--- a/packages/stand-ins/src/bin/stand-in-member.ts
+++ b/packages/stand-ins/src/bin/stand-in-member.ts
@@ -1,16 +1,21 @@
 #!/usr/bin/env node
-/** A stand-in member as a process: `stand-in-member FILE`, where FILE holds a MemberConfig. */
-import { readFileSync } from 'node:fs';
+/** A stand-in member as a process: `stand-in-member SETTINGS_FILE GROUP MEMBER`. */
 import { createServer } from 'node:http';
-import type { MemberConfig, MemberFaults } from '../member/member-config.js';
+import type { MemberFaults } from '../member/member-config.js';
 import { MemberServer } from '../member/member-server.js';
+import { createMemberConfigs, type PlannedGroup } from '../plan/member-plan.js';
+import { readPlannedSettings } from '../plan/seed-settings.js';
 
-interface ProcessConfig extends MemberConfig {
-  /** Port on which tests switch faults and read state. */
-  readonly faultPort: number;
-}
+/** Faults are switched, and state is read, on a member's port plus this. */
+const FAULT_PORT_OFFSET = 200;
+
+const [file = '', group = '', id = ''] = process.argv.slice(2);
+const settings = readPlannedSettings(file);
+const path = Object.keys(settings).find((name) => name.endsWith(`/groups/${group}`)) ?? '';
+const planned = createMemberConfigs((settings[path] ?? { members: [] }) as PlannedGroup);
+const config = planned.find((member) => member.id === id);
+if (config === undefined) throw new Error(`no member ${id} in group ${group}`);
 
-const config = JSON.parse(readFileSync(process.argv[2] ?? '', 'utf8')) as ProcessConfig;
 const server = new MemberServer(config);
 await server.start();
 
@@ -24,5 +29,5 @@
     response.end(JSON.stringify({ status, peakSessions: server.peakSessions }));
   });
 });
-control.listen(config.faultPort, config.host);
+control.listen(config.port + FAULT_PORT_OFFSET, config.host);
 process.stdout.write(`${JSON.stringify({ event: 'ready', member: config.id })}\n`);
--- a/packages/stand-ins/src/bin/stand-in-platform.ts
+++ b/packages/stand-ins/src/bin/stand-in-platform.ts
@@ -1,26 +1,13 @@
 #!/usr/bin/env node
-/** The stand-in platform as a process: `stand-in-platform FILE`, where FILE holds its settings. */
-import { readFileSync } from 'node:fs';
-import {
-  type ListedInstance,
-  type PlatformConfig,
-  PlatformServer,
-} from '../platform/platform-server.js';
+/** The stand-in platform as a process: `stand-in-platform PORT SETTINGS_FILE`. */
+import { PlatformServer } from '../platform/platform-server.js';
+import { readPlannedSettings, seedSettings } from '../plan/seed-settings.js';
 
-interface ProcessConfig extends PlatformConfig {
-  readonly instances: readonly ListedInstance[];
-  /** Keys that are in the store from the start. */
-  readonly keys: Readonly<Record<string, string>>;
-}
+const HOST = '127.0.0.1';
+const LIST_LAG_MS = 2000;
 
-const config = JSON.parse(readFileSync(process.argv[2] ?? '', 'utf8')) as ProcessConfig;
-const server = new PlatformServer(config);
-const writes = Object.entries(config.keys).map(([key, value]) => ({
-  kind: 'put' as const,
-  key,
-  value,
-}));
-server.store.transact([], writes, []);
-server.setInstances(config.instances);
+const [port = '', file = ''] = process.argv.slice(2);
+const server = new PlatformServer({ host: HOST, port: Number(port), listLagMs: LIST_LAG_MS });
+seedSettings(server.store, readPlannedSettings(file));
 await server.start();
-process.stdout.write(`${JSON.stringify({ event: 'ready', platform: config.port })}\n`);
+process.stdout.write(`${JSON.stringify({ event: 'ready', platform: Number(port) })}\n`);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,5 +2,7 @@
 export * from './member/member-server.js';
 export * from './member/member.js';
 export * from './member/replica-log.js';
+export * from './plan/member-plan.js';
+export * from './plan/seed-settings.js';
 export * from './platform/key-value-store.js';
 export * from './platform/platform-server.js';
