Believe an idempotency record only after a majority confirmed it

Cause: a caller whose commit had reached an isolated primary, unconfirmed, retried at an entry beside that primary. The record stood in the primary's tail, so the retry was told that the transaction was done; the other members chose a new primary without it.

Ruled out: a fault of the fence (the promotion rightly left out a position that no majority held) and of the look-up, which confirmed already.

--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -261,10 +261,7 @@
     lease: ConnectionLease,
     sink: AnswerWriter | undefined,
   ): Promise<never> {
-    if (error instanceof OutcomeExists) {
-      await this.rollBackQuietly(lease);
-      throw ProxyError.create(alreadyDone, undefined);
-    }
+    if (error instanceof OutcomeExists) return this.reportRecorded(lease);
     const isReadOnly = error instanceof UpstreamFailure && error.fields.code === READ_ONLY_STATE;
     lease.discard();
     if (!isReadOnly && !(error instanceof ConnectionLost)) throw error;
@@ -276,6 +273,22 @@
     throw new TryElsewhere();
   }
 
+  /** A record may stand in the unconfirmed tail of a replaced primary; only a majority tells. */
+  private async reportRecorded(lease: ConnectionLease): Promise<never> {
+    try {
+      await lease.connection.query('ROLLBACK');
+      this.state.advance(
+        await lease.connection.ask<SessionPosition>(`heatherledge.confirm(${CONFIRM_MS})`),
+      );
+    } catch {
+      lease.discard();
+      this.leases.doubt(lease.primary);
+      throw new TryElsewhere();
+    }
+    lease.release();
+    throw ProxyError.create(alreadyDone, undefined);
+  }
+
   private async runStatement(
     unit: RequestUnit,
     lease: ConnectionLease,
--- /dev/null
+++ b/packages/lab/test/faults/group-cells.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from 'vitest';
+import { createGroupCell, GROUP_GUARDS, listGroupCells, runGroupCell } from '@heatherledge/lab';
+
+/** Every so many cells of the whole matrix are run in CI; `npm run faults` runs them all. */
+const STRIDE = 5;
+
+describe('fault matrix of the data path', () => {
+  describe('cells', () => {
+    const cells = listGroupCells(1, 1).filter((_, index) => index % STRIDE === 0);
+
+    it('keep every promise', () => {
+      const failed = cells.map((cell) => runGroupCell(cell)).filter((r) => r.outcome === 'failed');
+      expect(failed).toEqual([]);
+    });
+
+    it('give the same result for the same seed', () => {
+      const cell = createGroupCell('group/kill-sender/commit-answer', 3);
+      expect(runGroupCell(cell)).toEqual(runGroupCell(cell));
+    });
+  });
+
+  describe('found failures', () => {
+    it('do not report a record in the tail of a replaced primary as done', () => {
+      const cell = createGroupCell('group/isolate-primary-domain/commit-answer', 1);
+      expect(runGroupCell(cell).violations).toEqual([]);
+    });
+  });
+
+  describe('guards', () => {
+    it('are told by name, each once', () => {
+      expect(new Set(GROUP_GUARDS).size).toBe(GROUP_GUARDS.length);
+    });
+  });
+});
