--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * from './idempotency/commit-tracker.js';
 export * from './keys/freshness-guard.js';
 export * from './keys/key-digest.js';
+export * from './limits/loan-desk.js';
 export * from './limits/loan-wallet.js';
 export * from './limits/organisation-limiter.js';
 export * from './limits/slot-claims.js';
--- a/packages/core/src/limits/slot-claims.ts
+++ b/packages/core/src/limits/slot-claims.ts
@@ -26,6 +26,8 @@
 export interface ClaimTimings {
   readonly leaseMs: Milliseconds;
   readonly renewEveryMs: Milliseconds;
+  /** While nothing is to be changed, the record is read this often only. */
+  readonly readEveryMs: Milliseconds;
   /** New slots stay unused for this long, until loans made by an earlier holder have lapsed. */
   readonly settleMs: Milliseconds;
 }
@@ -34,6 +36,7 @@
 export const DEFAULT_CLAIM_TIMINGS: ClaimTimings = {
   leaseMs: toMilliseconds(600_000),
   renewEveryMs: toMilliseconds(120_000),
+  readEveryMs: toMilliseconds(30_000),
   settleMs: toMilliseconds(1100),
 };
 
@@ -71,8 +74,12 @@
 
   private renewedAt: Milliseconds | undefined;
 
+  private knownHolders: ReadonlySet<InstanceId> = new Set();
+
   private releasing = false;
 
+  private observedAt: Milliseconds | undefined;
+
   /**
    * @param self - this instance
    * @param incarnation - this process
@@ -92,6 +99,8 @@
    */
   observe(record: SlotRecord, now: Milliseconds): void {
     this.record = record;
+    this.observedAt = now;
+    this.updateHolders(record);
     const next = new Map<number, Observation>();
     record.slots.forEach((claim, slot) => {
       if (claim === null) return;
@@ -103,6 +112,24 @@
     this.adoptOwn(record, now);
   }
 
+  /**
+   * Tells whether the record should be read, because it may have changed or is to be changed.
+   *
+   * @param liveInstances - instances among which slots are shared
+   * @param now - present moment
+   * @returns whether to read it
+   */
+  needsRead(liveInstances: number, now: Milliseconds): boolean {
+    const { observedAt } = this;
+    if (observedAt === undefined || now - observedAt >= this.timings.readEveryMs) return true;
+    return this.propose(liveInstances, now) !== undefined;
+  }
+
+  /** Makes the next {@link needsRead} true, since the record is known to have changed. */
+  forgetRecord(): void {
+    this.observedAt = undefined;
+  }
+
   /**
    * Decides what to write next.
    *
@@ -115,13 +142,13 @@
     if (record === undefined) return undefined;
     const renewal = this.nextRenewal;
     const wanted = this.chooseSlots(record, Math.max(1, liveInstances), now);
-    const due = now - (this.renewedAt ?? -Infinity) >= this.timings.renewEveryMs;
+    const isLate = now - (this.renewedAt ?? -Infinity) >= this.timings.renewEveryMs;
+    const due = isLate && wanted.size > 0;
     if (!due && this.matches(record, wanted)) return undefined;
     const slots = record.slots.map((claim, slot) => {
       if (wanted.has(slot)) return { holder: this.self, incarnation: this.incarnation, renewal };
       return claim?.holder === this.self ? null : claim;
     });
-    this.nextRenewal += 1;
     return { record: { slots }, renewal };
   }
 
@@ -133,6 +160,7 @@
    */
   noteSent(write: ClaimWrite, now: Milliseconds): void {
     this.sentAt.set(write.renewal, now);
+    this.nextRenewal = write.renewal + 1;
     // Slots that the write gives up must not be used any more, whatever becomes of the write.
     write.record.slots.forEach((claim, slot) => {
       if (claim?.holder !== this.self) this.holdings.delete(slot);
@@ -161,11 +189,17 @@
     return this.record?.slots.length ?? 0;
   }
 
-  /** @returns every instance that holds a slot by the record */
+  /** @returns every instance that holds a slot by the record; the same set until that changes */
   get holders(): ReadonlySet<InstanceId> {
+    return this.knownHolders;
+  }
+
+  private updateHolders(record: SlotRecord): void {
     const holders = new Set<InstanceId>();
-    for (const claim of this.record?.slots ?? []) if (claim !== null) holders.add(claim.holder);
-    return holders;
+    for (const claim of record.slots) if (claim !== null) holders.add(claim.holder);
+    const known = this.knownHolders;
+    const isSame = holders.size === known.size && [...holders].every((id) => known.has(id));
+    if (!isSame) this.knownHolders = holders;
   }
 
   private adoptOwn(record: SlotRecord, now: Milliseconds): void {
--- /dev/null
+++ b/packages/core/test/units/limits.test.ts
@@ -0,0 +1,80 @@
+import {
+  createSlotRecord,
+  type InstanceId,
+  SlotClaims,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
+import { describe, expect, it } from 'vitest';
+
+const at = toMilliseconds;
+const timings = {
+  leaseMs: at(1000),
+  renewEveryMs: at(300),
+  readEveryMs: at(300),
+  settleMs: at(100),
+};
+
+function createClaims(name: string, incarnation = '1'): SlotClaims {
+  return new SlotClaims(toBrand<InstanceId>(name), incarnation, timings);
+}
+
+describe('SlotClaims', () => {
+  it('uses new slots only after loans of an earlier holder have lapsed', () => {
+    const claims = createClaims('a');
+    claims.observe(createSlotRecord(4), at(0));
+    const write = claims.propose(1, at(0));
+    expect(write).toBeDefined();
+    if (write === undefined) return;
+    claims.noteSent(write, at(0));
+    claims.observe(write.record, at(10));
+    expect(claims.resolveOwned(at(20))).toEqual([]);
+    expect(claims.resolveOwned(at(120))).toHaveLength(4);
+  });
+
+  it('counts a lease from before the renewal was sent', () => {
+    const claims = createClaims('a');
+    claims.observe(createSlotRecord(4), at(0));
+    const write = claims.propose(1, at(0));
+    if (write === undefined) return;
+    claims.noteSent(write, at(0));
+    claims.observe(write.record, at(500));
+    expect(claims.resolveOwned(at(999))).toHaveLength(4);
+    expect(claims.resolveOwned(at(1000))).toEqual([]);
+  });
+
+  it('leaves another claim alone until it has watched it stand for longer than the lease', () => {
+    const [first, second] = [createClaims('a'), createClaims('b')];
+    first.observe(createSlotRecord(4), at(0));
+    const write = first.propose(1, at(0));
+    if (write === undefined) return;
+    second.observe(write.record, at(0));
+    expect(second.propose(2, at(1000))).toBeUndefined();
+    expect(second.propose(2, at(1060))).toBeDefined();
+  });
+
+  it('takes a slot back at once under its own name after a restart', () => {
+    const first = createClaims('a', '1');
+    first.observe(createSlotRecord(4), at(0));
+    const write = first.propose(1, at(0));
+    if (write === undefined) return;
+    const again = createClaims('a', '2');
+    again.observe(write.record, at(50));
+    expect(again.resolveOwned(at(50))).toEqual([]);
+    expect(again.propose(1, at(50))).toBeDefined();
+  });
+
+  it('stops using what it gives up before the write is sent', () => {
+    const claims = createClaims('a');
+    claims.observe(createSlotRecord(4), at(0));
+    const write = claims.propose(1, at(0));
+    if (write === undefined) return;
+    claims.noteSent(write, at(0));
+    claims.observe(write.record, at(0));
+    claims.release();
+    const release = claims.propose(1, at(200));
+    if (release === undefined) return;
+    claims.noteSent(release, at(200));
+    expect(claims.resolveOwned(at(200))).toEqual([]);
+  });
+});
--- a/packages/daemon/src/limits/slots-task.ts
+++ b/packages/daemon/src/limits/slots-task.ts
@@ -14,8 +14,6 @@
 /** Slots into which every rate is divided; fixed for the life of a fleet. */
 const SLOT_COUNT = 64;
 const STEP_MS = 1000;
-/** While nothing is to be changed, the record is read this often only. */
-const CALM_READ_MS = 30_000;
 
 /** Owns the claims. */
 export class SlotsTask {
@@ -23,8 +21,6 @@
 
   private stopped = false;
 
-  private lastReadAt = -Infinity;
-
   private liveInstances = 1;
 
   private modRevision = 0;
@@ -60,7 +56,7 @@
 
   /** @param count - instances among which slots are shared */
   setLiveInstances(count: number): void {
-    if (count !== this.liveInstances) this.lastReadAt = -Infinity;
+    if (count !== this.liveInstances) this.claims.forgetRecord();
     this.liveInstances = count;
   }
 
@@ -89,11 +85,9 @@
 
   private async step(): Promise<void> {
     try {
-      const due = this.clock.now() - this.lastReadAt >= CALM_READ_MS;
-      if (due || this.claims.propose(this.liveInstances, this.clock.now()) !== undefined) {
-        await this.read();
-        await this.write();
-      }
+      if (!this.claims.needsRead(this.liveInstances, this.clock.now())) return;
+      await this.read();
+      await this.write();
     } catch {
       // The platform is out; what is held goes on until its lease ends.
     }
@@ -104,7 +98,6 @@
     const stored = keys[0];
     this.modRevision = stored?.modRevision ?? 0;
     const record = stored ? (JSON.parse(stored.value) as SlotRecord) : createSlotRecord(SLOT_COUNT);
-    this.lastReadAt = this.clock.now();
     this.claims.observe(record, this.clock.now());
   }
 
@@ -118,6 +111,6 @@
       'slots',
     );
     if (outcome.succeeded) this.claims.observe(write.record, this.clock.now());
-    else this.lastReadAt = -Infinity;
+    else this.claims.forgetRecord();
   }
 }
--- a/packages/lab/src/faults/group/model-entry.ts
+++ b/packages/lab/src/faults/group/model-entry.ts
@@ -54,6 +54,8 @@
 
   private samples = new AgeSamples(KEEP_SAMPLES_MS);
 
+  private lastIndex: SessionPosition | undefined;
+
   private indexWaiters = new Map<number, (position: SessionPosition | undefined) => void>();
 
   constructor(
@@ -123,10 +125,15 @@
         this.handleBegin(job, primary, result),
       () => 'silent' as const,
     );
-    this.network.send('begin', this.name, primary.name, () =>
-      primary.begin(job.entry, isRecorded, (result) =>
-        this.network.send('begin-answer', primary.name, this.name, () => answer(result)),
-      ),
+    this.network.send(
+      'begin',
+      this.name,
+      primary.name,
+      () =>
+        primary.begin(job.entry, isRecorded, (result) =>
+          this.network.send('begin-answer', primary.name, this.name, () => answer(result)),
+        ),
+      job.entry.attempt,
     );
   }
 
@@ -175,12 +182,17 @@
       () => 'silent' as const,
     );
     const { attempt } = job.entry;
-    this.network.send('commit', this.name, primary.name, () =>
-      primary.commit(attempt, (isCommitted) =>
-        this.network.send('commit-answer', primary.name, this.name, () =>
-          answer(isCommitted ? 'applied' : 'refused'),
+    this.network.send(
+      'commit',
+      this.name,
+      primary.name,
+      () =>
+        primary.commit(attempt, (isCommitted) =>
+          this.network.send('commit-answer', primary.name, this.name, () =>
+            answer(isCommitted ? 'applied' : 'refused'),
+          ),
         ),
-      ),
+      attempt,
     );
   }
 
@@ -283,6 +295,11 @@
       proceed(known);
       return;
     }
+    if (this.without.has('read-index-order') && this.lastIndex !== undefined) {
+      // The mutation: an answer to an earlier question serves for this read as well.
+      proceed(this.lastIndex);
+      return;
+    }
     const ticket = this.batcher.join();
     this.indexWaiters.set(ticket, proceed);
     this.pumpIndex();
@@ -297,6 +314,7 @@
       (position: SessionPosition | undefined) => {
         if (batcher !== this.batcher) return;
         if (position !== undefined) this.samples.add({ askedAt, position });
+        this.lastIndex = position;
         for (const ticket of batcher.answer(question.question, position).tickets) {
           this.indexWaiters.get(ticket)?.(position);
           this.indexWaiters.delete(ticket);
@@ -400,7 +418,8 @@
   }
 
   private dropConnection(primary: ModelMember, attempt: string): void {
-    this.network.send('terminate', this.name, primary.name, () => primary.endSession(attempt));
+    const end = (): void => primary.endSession(attempt);
+    this.network.send('terminate', this.name, primary.name, end, attempt);
   }
 
   /** Calls back once: with the answer, or with a fallback after the step's timeout. */
