Judge tokens in hand in the matrix of shared rates

Cause: the mutations slot-settling and loan-life turned no cell red: arrivals above the rate used up every token at once, so nothing could be kept too long. Ruled out: that the guards are not needed (a loan kept four times too long is above the burst as soon as tokens are kept). Change: load alternates between three times and a fiftieth of the rate, and the sum of tokens in hand over all running instances is compared with the burst.

--- a/packages/lab/src/faults/shares/shares-cells.ts
+++ b/packages/lab/src/faults/shares/shares-cells.ts
@@ -67,11 +67,17 @@
 const FAULT_MS = 9000;
 const END_MS = 24_000;
 const TICK_MS = 5;
-const INTENSITY = 3;
+/** Load in turn far above and far below the rate, so that tokens are both used up and kept. */
+const INTENSITIES = [3, 0.02];
+const PHASE_MS = 1700;
+const CHECK_MS = 25;
+const ROUNDING_TOKENS = 1e-6;
 const LATEST_OCCURRENCE = 12;
 const SLOW_MS = 700;
 const LATE_MS = 1400;
-const RELEASE_AT_MS = 6000;
+/** Shortly after a time of high load, while loans are out. */
+const RELEASE_AT_MS = 5130;
+const LOAN_LIFE_MS = 3000;
 const LOWERED_SHARE = 0.5;
 
 /** Leases short enough for slots to be taken over within a cell. */
@@ -79,7 +85,7 @@
   leaseMs: toMilliseconds(3000),
   renewEveryMs: toMilliseconds(800),
   readEveryMs: toMilliseconds(800),
-  settleMs: toMilliseconds(1100),
+  settleMs: toMilliseconds(3100),
 };
 
 /**
@@ -130,6 +136,8 @@
 
   private hasStruck = false;
 
+  private readonly tokenViolations: Violation[] = [];
+
   constructor(
     private readonly cell: ShareCell,
     private readonly without: ReadonlySet<ShareGuard>,
@@ -157,6 +165,7 @@
     this.network.observer = (step, from, to) => this.observe(step, from, to);
     this.strategy.start();
     this.arrive();
+    this.checkTokens();
     this.queue.schedule(RELEASE_AT_MS, () => this.disturb());
     this.queue.runUntil(END_MS);
     if (!this.hasStruck) {
@@ -176,17 +185,19 @@
   }
 
   private judge(): Violation[] {
-    return this.audits.flatMap(({ result }, index) =>
+    const [first] = this.tokenViolations;
+    const above = this.audits.flatMap(({ result }, index) =>
       result.above === 0
         ? []
         : [{ rule: 'rate-and-burst', detail: `${this.organisations[index]?.id}: ${result.above}` }],
     );
+    return first === undefined ? above : [...above, first];
   }
 
   private createStrategy(): LoanStrategy {
     const { without } = this;
     const settleMs = toMilliseconds(without.has('slot-settling') ? 0 : CELL_CLAIMS.settleMs);
-    const lifeMs = toMilliseconds(EXPERIMENT_DESK_RULES.loans.lifeMs);
+    const lifeMs = toMilliseconds(LOAN_LIFE_MS);
     return new LoanStrategy(this.network, this.random, this.store, {
       instances: this.names,
       organisations: this.organisations,
@@ -199,10 +210,23 @@
     });
   }
 
-  /** Arrivals at a few times the rate use up every token that comes into being. */
+  /** Tokens in hand anywhere are never more than the burst; the bound on admissions rests on it. */
+  private checkTokens(): void {
+    for (const organisation of this.organisations) {
+      const inHand = this.strategy.countTokens(organisation);
+      if (inHand > organisation.burst + ROUNDING_TOKENS) {
+        const detail = `${organisation.id}: ${inHand.toFixed(3)} at ${this.queue.now()}`;
+        this.tokenViolations.push({ rule: 'tokens-in-hand', detail });
+      }
+    }
+    this.queue.schedule(CHECK_MS, () => this.checkTokens());
+  }
+
   private arrive(): void {
+    const phase = Math.floor(this.queue.now() / PHASE_MS) % INTENSITIES.length;
+    const intensity = INTENSITIES[phase] ?? 1;
     this.organisations.forEach((organisation, index) => {
-      const mean = (organisation.ratePerSecond * INTENSITY * TICK_MS) / 1000;
+      const mean = (organisation.ratePerSecond * intensity * TICK_MS) / 1000;
       const count = Math.floor(mean + this.random.next());
       for (let arrival = 0; arrival < count; arrival += 1) this.request(organisation, index);
     });
--- a/packages/lab/src/shares/loan-strategy.ts
+++ b/packages/lab/src/shares/loan-strategy.ts
@@ -111,6 +111,12 @@
     return this.resolveDesk(organisation).desk;
   }
 
+  /** @returns tokens of an organisation that could be spent here now */
+  countTokens(organisation: ExperimentOrganisation): number {
+    const { own, borrowed } = this.deskOf(organisation).describe(this.clock.now());
+    return own + borrowed;
+  }
+
   private get network(): FakeNetwork {
     return this.strategy.network;
   }
@@ -246,6 +252,16 @@
     return this.store.calls;
   }
 
+  /**
+   * @param organisation - an organisation
+   * @returns tokens that running instances could spend now
+   */
+  countTokens(organisation: ExperimentOrganisation): number {
+    return this.instances
+      .filter(({ name }) => this.network.isRunning(name))
+      .reduce((sum, instance) => sum + instance.countTokens(organisation), 0);
+  }
+
   /** The mutation: a borrower that believes in a longer life of its loans. */
   stretch(offer: LoanOffer): LoanOffer {
     const { borrowerLifeFactor: factor = 1 } = this.options;
