Keep control within its budget at the size to design for

Cause: measured slopes broke the budget by design.

Ruled out: longer periods alone (they would not touch the cost of a change).

Change: settings are indexed in place, a change costs what it touches; watchers are found on a hash ring, in at most three failure domains; replicas are probed and opinions told once a second while all is well; pools exist for groups in use only; relays scale with the domain (one for 12) and answer for others; the slot record is read ever more rarely while it stands still. The watchers' opinions are a module of their own.

--- a/packages/core/src/failover/group-watcher.ts
+++ b/packages/core/src/failover/group-watcher.ts
@@ -17,10 +17,14 @@
 import { toMilliseconds } from '../types/ids.js';
 import type { GroupView, MemberStatus, MemberView } from './group-view.js';
 import type { Ballot, MemberOrder, OrderAnswer } from './member-port.js';
+import { OpinionBook } from './opinion-book.js';
 
 /** Periods and bounds of a watcher, all in milliseconds. */
 export interface WatcherTimings {
+  /** Period of probes of the primary, and of everything while it is suspected. */
   readonly probeEveryMs: number;
+  /** Period of probes of replicas, and of opinions, while all is well. */
+  readonly calmEveryMs: number;
   readonly orderTimeoutMs: number;
   /** A primary without a good answer for this long is suspected. */
   readonly suspectAfterMs: number;
@@ -39,9 +43,10 @@
 /** Timings for distances of up to 12 ms between regions. */
 export const DEFAULT_WATCHER_TIMINGS: WatcherTimings = {
   probeEveryMs: 200,
+  calmEveryMs: 1000,
   orderTimeoutMs: 400,
   suspectAfterMs: 700,
-  opinionLifeMs: 1000,
+  opinionLifeMs: 1500,
   attemptTimeoutMs: 1500,
   staggerMs: 400,
   backoffMs: 400,
@@ -121,7 +126,7 @@
 
   private readonly views = new Map<MemberId, MemberView>();
 
-  private readonly opinions = new Map<InstanceId, { opinion: WatcherOpinion; at: Milliseconds }>();
+  private readonly opinions: OpinionBook;
 
   private readonly pending = new Map<number, PendingOrder>();
 
@@ -133,6 +138,8 @@
 
   private nextProbeAt = toMilliseconds(0);
 
+  private nextCalmAt = toMilliseconds(0);
+
   private healthyAt: Milliseconds | undefined;
 
   private suspected = false;
@@ -164,7 +171,9 @@
     private readonly identity: WatcherIdentity,
     private readonly timings: WatcherTimings,
     private readonly random: () => number,
-  ) {}
+  ) {
+    this.opinions = new OpinionBook(identity, timings.opinionLifeMs);
+  }
 
   /**
    * @param members - the group's members by the newest settings
@@ -227,7 +236,7 @@
    * @returns actions to carry out, in order
    */
   handleOpinion(opinion: WatcherOpinion, now: Milliseconds): WatcherAction[] {
-    this.opinions.set(opinion.watcher, { opinion, at: now });
+    this.opinions.note(opinion, now);
     this.judge(now);
     return this.takeActions();
   }
@@ -254,25 +263,38 @@
 
   private probeAll(now: Milliseconds): void {
     this.nextProbeAt = toMilliseconds(now + this.timings.probeEveryMs);
+    const primary = this.findPrimary();
+    const isCalm = primary !== undefined && !this.suspected && this.handover === undefined;
+    const isDue = !isCalm || now >= this.nextCalmAt;
     for (const { id } of this.members) {
-      const busy = [...this.pending.values()].some(
-        (order) => order.member === id && order.order.kind === 'status',
-      );
-      if (!busy) this.sendOrder(id, { kind: 'status' }, now);
+      if ((isDue || id === primary?.member) && !this.isProbed(id)) {
+        this.sendOrder(id, { kind: 'status' }, now);
+      }
     }
-    this.actions.push({
-      kind: 'tell',
-      opinion: {
-        group: this.identity.group,
-        watcher: this.identity.instance,
-        failureDomain: this.identity.failureDomain,
-        term: this.highestTerm(),
-        suspects: this.suspected,
-      },
-    });
+    if (!isDue) return;
+    this.nextCalmAt = toMilliseconds(now + this.timings.calmEveryMs);
+    this.tellOpinion();
     this.actions.push({ kind: 'publish', view: this.view });
   }
 
+  private isProbed(member: MemberId): boolean {
+    return [...this.pending.values()].some(
+      (pending) => pending.member === member && pending.order.kind === 'status',
+    );
+  }
+
+  private tellOpinion(): void {
+    const { group, instance: watcher, failureDomain } = this.identity;
+    const opinion = {
+      group,
+      watcher,
+      failureDomain,
+      term: this.highestTerm(),
+      suspects: this.suspected,
+    };
+    this.actions.push({ kind: 'tell', opinion });
+  }
+
   private sendOrder(member: MemberId, order: MemberOrder, now: Milliseconds): void {
     const token = this.nextToken;
     this.nextToken += 1;
@@ -341,45 +363,28 @@
     const wasSuspected = this.suspected;
     const isOverdue = now - (this.healthyAt ?? now) >= this.timings.suspectAfterMs;
     this.suspected = isOverdue || this.refusals >= REFUSALS_OF_A_CRASH;
-    if (this.suspected && !wasSuspected) this.log('suspected', this.findPrimary()?.member);
+    if (this.suspected && !wasSuspected) {
+      this.log('suspected', this.findPrimary()?.member);
+      this.tellOpinion();
+      this.nextProbeAt = now;
+    }
     if (this.suspected) this.considerAttempt(now);
     else this.reconcile(now);
   }
 
   private considerAttempt(now: Milliseconds): void {
     if (this.attempt !== undefined || now < this.waitUntil) return;
-    if (!this.hasEvidence(now) || !this.reachesMajority()) {
+    if (!this.opinions.hasEvidence(this.watcherDomains, now) || !this.reachesMajority()) {
       this.evidenceSince = undefined;
       return;
     }
     this.evidenceSince ??= now;
     const { staggerMs } = this.timings;
-    const isTurn = now - this.evidenceSince >= this.resolveRank(now) * staggerMs;
+    const isTurn = now - this.evidenceSince >= this.opinions.resolveRank(now) * staggerMs;
     const isOtherActing = now - (this.foreignPromiseAt ?? -Infinity) < staggerMs;
     if (isTurn && !isOtherActing) this.startAttempt(now);
   }
 
-  /** @returns how many other watchers that suspect come before this one */
-  private resolveRank(now: Milliseconds): number {
-    let rank = 0;
-    for (const { opinion, at } of this.opinions.values()) {
-      const counts = now - at <= this.timings.opinionLifeMs && opinion.suspects;
-      if (counts && opinion.watcher < this.identity.instance) rank += 1;
-    }
-    return rank;
-  }
-
-  /** Watchers in a majority of the failure domains must agree, so that a cut-off one cannot act. */
-  private hasEvidence(now: Milliseconds): boolean {
-    const domains = new Set([this.identity.failureDomain]);
-    for (const { opinion, at } of this.opinions.values()) {
-      const fresh = now - at <= this.timings.opinionLifeMs;
-      if (fresh && opinion.suspects) domains.add(opinion.failureDomain);
-    }
-    const total = new Set([...this.watcherDomains, this.identity.failureDomain]).size;
-    return domains.size * 2 > total;
-  }
-
   private reachesMajority(): boolean {
     const reachable = this.members.filter(({ id }) => this.views.get(id)?.reachable);
     return reachable.length >= this.majority;
@@ -487,7 +492,8 @@
     const primary = this.findPrimary();
     if (primary === undefined || this.suspected || this.attempt !== undefined) return;
     if (!this.isLeaving(primary.member) || !this.hasSuccessor() || now < this.waitUntil) return;
-    if (!this.isFirstWatcher(now)) return;
+    // One watcher leads a planned change; the others would only compete with it.
+    if (!this.opinions.isFirst(now)) return;
     if (this.handover?.primary !== primary.member) this.startHandover(primary, now);
     else if (this.isAtRest(primary, now)) this.startAttempt(now);
   }
@@ -496,15 +502,6 @@
     return this.members.some(({ id, leaving }) => !leaving && this.views.get(id)?.reachable);
   }
 
-  /** One watcher leads a planned change; the others would only compete with it. */
-  private isFirstWatcher(now: Milliseconds): boolean {
-    for (const { opinion, at } of this.opinions.values()) {
-      const fresh = now - at <= this.timings.opinionLifeMs;
-      if (fresh && opinion.watcher < this.identity.instance) return false;
-    }
-    return true;
-  }
-
   private startHandover(primary: MemberStatus, now: Milliseconds): void {
     this.handover = { primary: primary.member, startedAt: now };
     this.log('handover', primary.member);
--- a/packages/core/src/limits/slot-claims.ts
+++ b/packages/core/src/limits/slot-claims.ts
@@ -26,8 +26,10 @@
 export interface ClaimTimings {
   readonly leaseMs: Milliseconds;
   readonly renewEveryMs: Milliseconds;
-  /** While nothing is to be changed, the record is read this often only. */
+  /** While nothing changes, the record is read this often only. */
   readonly readEveryMs: Milliseconds;
+  /** After a change the record is read this soon again, and then ever more rarely. */
+  readonly firstReadMs: Milliseconds;
   /** New slots stay unused for this long, until loans made by an earlier holder have lapsed. */
   readonly settleMs: Milliseconds;
 }
@@ -36,7 +38,8 @@
 export const DEFAULT_CLAIM_TIMINGS: ClaimTimings = {
   leaseMs: toMilliseconds(600_000),
   renewEveryMs: toMilliseconds(120_000),
-  readEveryMs: toMilliseconds(30_000),
+  readEveryMs: toMilliseconds(60_000),
+  firstReadMs: toMilliseconds(1000),
   settleMs: toMilliseconds(1100),
 };
 
@@ -80,6 +83,8 @@
 
   private observedAt: Milliseconds | undefined;
 
+  private readAfterMs: number;
+
   /**
    * @param self - this instance
    * @param incarnation - this process
@@ -89,7 +94,9 @@
     private readonly self: InstanceId,
     private readonly incarnation: string,
     private readonly timings: ClaimTimings,
-  ) {}
+  ) {
+    this.readAfterMs = timings.firstReadMs;
+  }
 
   /**
    * Takes the record as read from the platform.
@@ -121,7 +128,7 @@
    */
   needsRead(liveInstances: number, now: Milliseconds): boolean {
     const { observedAt } = this;
-    if (observedAt === undefined || now - observedAt >= this.timings.readEveryMs) return true;
+    if (observedAt === undefined || now - observedAt >= this.readAfterMs) return true;
     return this.propose(liveInstances, now) !== undefined;
   }
 
@@ -200,6 +207,8 @@
     const known = this.knownHolders;
     const isSame = holders.size === known.size && [...holders].every((id) => known.has(id));
     if (!isSame) this.knownHolders = holders;
+    const { firstReadMs, readEveryMs } = this.timings;
+    this.readAfterMs = isSame ? Math.min(this.readAfterMs * 2, readEveryMs) : firstReadMs;
   }
 
   private adoptOwn(record: SlotRecord, now: Milliseconds): void {
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -52,15 +52,15 @@
   readonly gossipRepeats: number;
 }
 
-/** A dead instance is known within about three seconds. */
+/** A dead instance is known within about four seconds. */
 export const DEFAULT_MEMBERSHIP_TIMINGS: MembershipTimings = {
-  periodMs: 500,
-  directTimeoutMs: 200,
+  periodMs: 1000,
+  directTimeoutMs: 300,
   suspicionMs: 2000,
   retryDeadMs: 5000,
   helpers: 2,
-  gossipPerMessage: 6,
-  gossipRepeats: 6,
+  gossipPerMessage: 4,
+  gossipRepeats: 8,
 };
 
 interface Probe {
--- a/packages/core/src/settings/snapshot.ts
+++ b/packages/core/src/settings/settings-index.ts
@@ -27,6 +27,12 @@
   readonly value: unknown;
 }
 
+/** A path and its new value; undefined deletes the path. */
+export interface SettingsChange {
+  readonly path: string;
+  readonly value?: unknown;
+}
+
 /** A tenant key that is in force. */
 export interface KeyRecord {
   readonly organisation: OrganisationId;
@@ -67,8 +73,14 @@
 /** Paths that the instances keep for themselves among the settings. */
 const INTERNAL_PREFIX = 'internal/';
 
-/** The settings at one revision; never changes. */
-export class SettingsSnapshot {
+/** How values of one kind get into the index and out of it. */
+interface KindIndexer {
+  readonly add: (id: string, value: unknown) => void;
+  readonly remove: (id: string, value: unknown) => void;
+}
+
+/** Settings in force, indexed for serving; a change costs what it touches, not what is held. */
+export class SettingsIndex {
   readonly organisations = new Map<OrganisationId, OrganisationSettings>();
 
   readonly keys = new Map<KeyDigest, KeyRecord>();
@@ -82,42 +94,91 @@
   places: Places = { regionOf: new Map(), betweenDomainsMs: 0, betweenRegionsMs: 0 };
 
   /** Paths whose stored value does not fit the schema; they are left out. */
-  readonly unreadable: string[] = [];
+  readonly unreadable = new Set<string>();
+
+  revision = toBrand<SettingsRevision>(0);
+
+  private readonly stored = new Map<string, unknown>();
+
+  /** @returns every path and its value */
+  get values(): ReadonlyMap<string, unknown> {
+    return this.stored;
+  }
+
+  /**
+   * Puts a whole state in place of what is held.
+   *
+   * @param revision - revision of the state
+   * @param entries - every path and its value
+   */
+  replace(revision: SettingsRevision, entries: readonly SettingsEntry[]): void {
+    const next = new Set(entries.map(({ path }) => path));
+    for (const path of [...this.stored.keys()]) if (!next.has(path)) this.remove(path);
+    for (const { path, value } of entries) this.set(path, value);
+    this.revision = revision;
+  }
 
   /**
-   * @param revision - revision of the platform's store
-   * @param values - every path and its value
+   * Makes the changes of one revision.
+   *
+   * @param revision - revision after the changes
+   * @param changes - paths and values; a value of undefined deletes the path
    */
-  constructor(
-    readonly revision: SettingsRevision,
-    readonly values: ReadonlyMap<string, unknown>,
-  ) {
-    for (const [path, value] of values) this.addEntry(path, value);
+  change(revision: SettingsRevision, changes: readonly SettingsChange[]): void {
+    for (const { path, value } of changes) {
+      if (value === undefined) this.remove(path);
+      else this.set(path, value);
+    }
+    this.revision = revision;
   }
 
-  private addEntry(path: string, value: unknown): void {
+  private set(path: string, value: unknown): void {
+    this.remove(path);
+    this.stored.set(path, value);
     if (path.startsWith(INTERNAL_PREFIX)) return;
     const parsed = parseSettingsPath(path);
     const checked = parsed && resolveSettingsSchema(parsed.kind).safeParse(value);
-    if (!parsed || !checked?.success) {
-      this.unreadable.push(path);
-      return;
-    }
-    this.indexers[parsed.kind](parsed.id, checked.data);
+    if (!parsed || !checked?.success) this.unreadable.add(path);
+    else this.indexers[parsed.kind].add(parsed.id, checked.data);
   }
 
-  private get indexers(): Record<SettingsKind, (id: string, value: unknown) => void> {
-    return {
-      organisations: (id, value) =>
-        this.organisations.set(toBrand<OrganisationId>(id), value as OrganisationSettings),
-      keys: (_, value) => this.addKey(value as KeySettings),
-      groups: (id, value) => this.addGroup(id, value as GroupSettings),
-      routes: (id, value) => this.addRoute(id, value as RouteSettings),
-      credentials: (id, value) => this.credentials.set(id, value as CredentialSettings),
-      places: (_, value) => this.addPlaces(value as PlacesSettings),
-    };
+  private remove(path: string): void {
+    if (!this.stored.has(path)) return;
+    const value = this.stored.get(path);
+    this.stored.delete(path);
+    if (this.unreadable.delete(path)) return;
+    const parsed = parseSettingsPath(path);
+    if (parsed !== undefined) this.indexers[parsed.kind].remove(parsed.id, value);
   }
 
+  private readonly indexers: Record<SettingsKind, KindIndexer> = {
+    organisations: {
+      add: (id, value) =>
+        this.organisations.set(toBrand<OrganisationId>(id), value as OrganisationSettings),
+      remove: (id) => this.organisations.delete(toBrand<OrganisationId>(id)),
+    },
+    keys: {
+      add: (_, value) => this.addKey(value as KeySettings),
+      remove: (_, value) => this.keys.delete(toBrand<KeyDigest>((value as KeySettings).digest)),
+    },
+    groups: {
+      add: (id, value) => this.addGroup(id, value as GroupSettings),
+      remove: (id) => this.groups.delete(toBrand<GroupId>(id)),
+    },
+    routes: {
+      add: (id, value) => this.addRoute(id, value as RouteSettings),
+      remove: (id) => this.routes.delete(id),
+    },
+    credentials: {
+      add: (id, value) => this.credentials.set(id, value as CredentialSettings),
+      remove: (id) => this.credentials.delete(id),
+    },
+    places: {
+      add: (_, value) => this.addPlaces(value as PlacesSettings),
+      remove: () => {},
+    },
+  };
+
   private addKey(key: KeySettings): void {
     this.keys.set(toBrand<KeyDigest>(key.digest), {
       organisation: toBrand<OrganisationId>(key.organisation),
@@ -170,6 +231,3 @@
   const sameRegion = places.regionOf.get(from) === places.regionOf.get(to);
   return sameRegion ? places.betweenDomainsMs : places.betweenRegionsMs;
 }
-
-/** The settings before anything is known. */
-export const EMPTY_SNAPSHOT = new SettingsSnapshot(toBrand<SettingsRevision>(0), new Map());
--- a/packages/core/src/settings/settings-replica.ts
+++ b/packages/core/src/settings/settings-replica.ts
@@ -1,6 +1,6 @@
 /** An instance's copy of the settings, which never goes back to an older revision. */
-import { type Milliseconds, type SettingsRevision, toBrand } from '../types/ids.js';
-import { EMPTY_SNAPSHOT, type SettingsEntry, SettingsSnapshot } from './snapshot.js';
+import type { Milliseconds, SettingsRevision } from '../types/ids.js';
+import { type SettingsChange, type SettingsEntry, SettingsIndex } from './settings-index.js';
 
 /** All settings at a revision. */
 export interface SettingsState {
@@ -15,7 +15,7 @@
   readonly from: SettingsRevision;
   readonly to: SettingsRevision;
   /** A value of undefined means that the path was deleted. */
-  readonly changes: readonly { readonly path: string; readonly value?: unknown }[];
+  readonly changes: readonly SettingsChange[];
 }
 
 /** What applying an update came to. */
@@ -23,7 +23,7 @@
 
 /** Applies updates in order, from whichever source they come. */
 export class SettingsReplica {
-  private snapshot: SettingsSnapshot = EMPTY_SNAPSHOT;
+  private readonly index = new SettingsIndex();
 
   private known = false;
 
@@ -31,8 +31,8 @@
   private freshAt: Milliseconds | undefined;
 
   /** @returns the newest settings known */
-  get current(): SettingsSnapshot {
-    return this.snapshot;
+  get current(): SettingsIndex {
+    return this.index;
   }
 
   /** @returns whether any settings have been learnt */
@@ -62,33 +62,23 @@
    * @param at - moment of our clock at which the source was known to be current
    */
   confirmFreshness(revision: SettingsRevision, at: Milliseconds): void {
-    if (!this.known || revision > this.snapshot.revision) return;
+    if (!this.known || revision > this.index.revision) return;
     if (this.freshAt === undefined || at > this.freshAt) this.freshAt = at;
   }
 
   private applyState(state: SettingsState): ApplyResult {
-    if (this.known && state.revision <= this.snapshot.revision) return 'old';
-    const values = new Map(state.entries.map(({ path, value }) => [path, value]));
-    this.replace(state.revision, values);
+    if (this.known && state.revision <= this.index.revision) return 'old';
+    this.index.replace(state.revision, state.entries);
+    this.known = true;
     return 'applied';
   }
 
   private applyDelta(delta: SettingsDelta): ApplyResult {
-    if (!this.known || delta.from > this.snapshot.revision) return 'gap';
-    if (delta.to <= this.snapshot.revision) return 'old';
+    if (!this.known || delta.from > this.index.revision) return 'gap';
+    if (delta.to <= this.index.revision) return 'old';
     // A delta that starts before our revision may carry values that we have already passed.
-    if (delta.from < this.snapshot.revision) return 'gap';
-    const values = new Map(this.snapshot.values);
-    for (const { path, value } of delta.changes) {
-      if (value === undefined) values.delete(path);
-      else values.set(path, value);
-    }
-    this.replace(delta.to, values);
+    if (delta.from < this.index.revision) return 'gap';
+    this.index.change(delta.to, delta.changes);
     return 'applied';
   }
-
-  private replace(revision: SettingsRevision, values: ReadonlyMap<string, unknown>): void {
-    this.snapshot = new SettingsSnapshot(toBrand<SettingsRevision>(revision), values);
-    this.known = true;
-  }
 }
--- a/packages/core/test/units/limits.test.ts
+++ b/packages/core/test/units/limits.test.ts
@@ -12,6 +12,7 @@
   leaseMs: at(1000),
   renewEveryMs: at(300),
   readEveryMs: at(300),
+  firstReadMs: at(100),
   settleMs: at(100),
 };
 
--- a/packages/daemon/src/admin/admin-api.ts
+++ b/packages/daemon/src/admin/admin-api.ts
@@ -4,7 +4,7 @@
   createKeyDigest,
   type CredentialSettings,
   type PathChange,
-  type SettingsSnapshot,
+  type SettingsIndex,
 } from '@heatherledge/core';
 import { z } from 'zod';
 import type { ChangeOutcome, ChangeRequest, AuditRecord } from '../settings/settings-store.js';
@@ -13,7 +13,7 @@
 
 /** What the API needs of the instance. */
 export interface AdminPort {
-  settings(): SettingsSnapshot;
+  settings(): SettingsIndex;
   isReady(): boolean;
   change(request: ChangeRequest): Promise<ChangeOutcome>;
   history(): Promise<readonly AuditRecord[]>;
--- a/packages/daemon/src/callers/serving-context.ts
+++ b/packages/daemon/src/callers/serving-context.ts
@@ -5,7 +5,7 @@
   GroupId,
   PositionCodec,
   RoutingWeights,
-  SettingsSnapshot,
+  SettingsIndex,
 } from '@heatherledge/core';
 import type { GroupDirectory } from '../groups/group-directory.js';
 import type { PrimaryPosition } from '../groups/primary-position.js';
@@ -29,7 +29,7 @@
   readonly weights: RoutingWeights;
   /** Time in which a request must be done, in milliseconds. */
   readonly deadlineMs: number;
-  settings(): SettingsSnapshot;
+  settings(): SettingsIndex;
   allowsKeys(): boolean;
   useGroup(group: GroupId): void;
   positionOf(group: GroupId): PrimaryPosition;
--- a/packages/daemon/src/groups/groups-task.ts
+++ b/packages/daemon/src/groups/groups-task.ts
@@ -1,6 +1,7 @@
 /** Watches the groups that fall to this instance, and follows the groups that it uses. */
 import {
   chooseHolders,
+  HashRing,
   type Clock,
   type FailureDomainId,
   type GroupId,
@@ -8,7 +9,7 @@
   type GroupView,
   type InstanceId,
   type InstanceRecord,
-  type SettingsSnapshot,
+  type SettingsIndex,
   toBrand,
   type WatcherEvent,
   type WatcherOpinion,
@@ -20,10 +21,12 @@
 
 /** What the task needs to know of the fleet. */
 export interface FleetKnowledge {
-  readonly settings: SettingsSnapshot;
+  readonly settings: SettingsIndex;
   readonly live: readonly InstanceRecord[];
 }
 
+/** Failure domains from which a group is watched; a majority of them must agree on a change. */
+const WATCHER_DOMAINS = 3;
 const SUBSCRIBE_EVERY_MS = 1500;
 const SUBSCRIPTION_LIFE_MS = 5000;
 
@@ -37,6 +40,8 @@
 
   private fleet: FleetKnowledge | undefined;
 
+  private rings: ReadonlyMap<FailureDomainId, HashRing<InstanceId>> = new Map();
+
   constructor(
     private readonly self: InstanceRecord,
     private readonly directory: GroupDirectory,
@@ -56,23 +61,27 @@
   }
 
   /**
-   * Takes new settings or a change among the instances.
+   * Takes a change among the instances; every group is looked at again.
    *
    * @param fleet - what is known now
    */
-  update(fleet: FleetKnowledge): void {
+  updateLive(fleet: FleetKnowledge): void {
     this.fleet = fleet;
-    for (const [id, watcher] of this.watchers) {
-      if (fleet.settings.groups.has(id) && this.isWatcher(id)) continue;
-      watcher.stop();
-      this.watchers.delete(id);
-    }
-    for (const group of fleet.settings.groups.values()) {
-      if (this.isWatcher(group.id)) this.watch(group);
-    }
+    this.rings = createRings(fleet.live);
+    this.updateGroups(fleet.settings.groups.keys());
     this.subscribe();
   }
 
+  /**
+   * Takes changed settings of groups.
+   *
+   * @param ids - groups that may have changed
+   */
+  updateGroups(ids: Iterable<GroupId>): void {
+    for (const id of this.watchers.keys()) this.updateGroup(id);
+    for (const id of ids) this.updateGroup(id);
+  }
+
   /**
    * Starts to follow a group for serving.
    *
@@ -96,11 +105,21 @@
     this.watchers.clear();
   }
 
+  private updateGroup(id: GroupId): void {
+    const group = this.fleet?.settings.groups.get(id);
+    if (group !== undefined && this.isWatcher(group)) {
+      this.watch(group);
+      return;
+    }
+    this.watchers.get(id)?.stop();
+    this.watchers.delete(id);
+  }
+
   private watch(group: GroupRecord): void {
     const known = this.watchers.get(group.id);
     const watcher = known ?? this.createWatcher(group.id);
     this.watchers.set(group.id, watcher);
-    const domains = new Set(this.chooseWatchers(group.id).map((record) => record.failureDomain));
+    const domains = new Set(this.chooseDomains(group));
     watcher.configure(group, domains);
   }
 
@@ -114,30 +133,33 @@
     });
   }
 
-  /** One watcher in each failure domain, so that evidence comes from several. */
-  private chooseWatchers(group: GroupId): InstanceRecord[] {
-    const byDomain = new Map<FailureDomainId, InstanceRecord[]>();
-    for (const record of this.fleet?.live ?? []) {
-      const records = byDomain.get(record.failureDomain) ?? [];
-      records.push(record);
-      byDomain.set(record.failureDomain, records);
-    }
-    return [...byDomain.values()].flatMap((records) => {
-      const [holder] = chooseHolders(
-        `watcher/${group}`,
-        records.map(({ id }) => id),
-        1,
-      );
-      return records.filter(({ id }) => id === holder);
-    });
+  /** Domains of the group's own members come first: they can see most of it. */
+  private chooseDomains(group: GroupRecord): FailureDomainId[] {
+    const own = new Set(group.members.map(({ failureDomain }) => failureDomain));
+    const present = [...own].filter((domain) => this.rings.has(domain)).sort();
+    const others = [...this.rings.keys()].filter((domain) => !own.has(domain));
+    const extra = chooseHolders(`domains/${group.id}`, others, WATCHER_DOMAINS);
+    return [...present, ...extra].slice(0, WATCHER_DOMAINS);
+  }
+
+  private chooseWatchers(id: GroupId): InstanceId[] {
+    const group = this.fleet?.settings.groups.get(id);
+    if (group === undefined) return [];
+    return this.chooseDomains(group).flatMap((domain) => this.findWatcher(domain, id) ?? []);
   }
 
-  private isWatcher(group: GroupId): boolean {
-    return this.chooseWatchers(group).some(({ id }) => id === this.self.id);
+  private findWatcher(domain: FailureDomainId, id: GroupId): InstanceId | undefined {
+    return this.rings.get(domain)?.find(`watcher/${id}`);
+  }
+
+  private isWatcher(group: GroupRecord): boolean {
+    const { id, failureDomain } = this.self;
+    const isFirst = this.findWatcher(failureDomain, group.id) === id;
+    return isFirst && this.chooseDomains(group).includes(failureDomain);
   }
 
   private tellWatchers(opinion: WatcherOpinion): void {
-    for (const { id } of this.chooseWatchers(opinion.group)) {
+    for (const id of this.chooseWatchers(opinion.group)) {
       if (id !== this.self.id) this.hub.tell(id, { kind: 'group.opinion', opinion });
     }
   }
@@ -157,7 +179,7 @@
   }
 
   private subscribeTo(group: GroupId): void {
-    for (const { id } of this.chooseWatchers(group)) {
+    for (const id of this.chooseWatchers(group)) {
       if (id !== this.self.id) this.hub.tell(id, { kind: 'group.subscribe', group });
     }
   }
@@ -182,6 +204,18 @@
   }
 }
 
+function createRings(
+  live: readonly InstanceRecord[],
+): ReadonlyMap<FailureDomainId, HashRing<InstanceId>> {
+  const byDomain = new Map<FailureDomainId, InstanceId[]>();
+  for (const { id, failureDomain } of live) {
+    const ids = byDomain.get(failureDomain) ?? [];
+    ids.push(id);
+    byDomain.set(failureDomain, ids);
+  }
+  return new Map([...byDomain].map(([domain, ids]) => [domain, new HashRing(ids)]));
+}
+
 type PlainView = Parameters<PeerHub['tell']>[1] & { kind: 'group.view' };
 
 function toPlainView(view: GroupView): PlainView['view'] {
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -11,7 +11,9 @@
   type GroupId,
   type InstanceId,
   type InstanceRecord,
+  parseSettingsPath,
   PositionCodec,
+  type SettingsIndex,
   type SessionPosition,
   toBrand,
   toMilliseconds,
@@ -108,7 +110,7 @@
       this.clock,
       DEFAULT_MEMBERSHIP_TIMINGS,
       this.random,
-      () => this.spread(),
+      () => this.spreadLive(),
     );
     this.hub = new PeerHub({ self: id, secret }, (peer) => this.membership.membership.find(peer));
     this.platform = new EtcdPlatform(config.platform.endpoint, config.platform.timeoutMs);
@@ -270,7 +272,8 @@
     const { staleLimitMs, whenStale } = this.config.keys;
     const rules = { limitMs: toMilliseconds(staleLimitMs), policy: whenStale };
     return new SettingsTask(this.self, this.store, this.hub, this.clock, rules, {
-      onSettings: () => {
+      onSettings: (paths) => {
+        this.groups.updateGroups(listGroups(paths, this.settings()));
         this.spread();
         this.callers.recheckKeys();
       },
@@ -316,7 +319,10 @@
       deadlineMs: this.config.callers.deadlineMs,
       settings: () => this.settings(),
       allowsKeys: () => this.settingsTask.allowsKeys,
-      useGroup: (group) => this.groups.use(group),
+      useGroup: (group) => {
+        this.groups.use(group);
+        this.pools.use(group);
+      },
       positionOf: (group) => this.resolvePosition(group),
       count: (event) => this.metrics.served.inc({ event }),
       countError: (error) => this.metrics.errors.inc({ error }),
@@ -358,18 +364,23 @@
     }
   }
 
-  /** Tells the tasks of new settings, instances or slots. */
-  private spread(): void {
+  /** Tells the tasks of changes among the instances. */
+  private spreadLive(): void {
     const { live } = this.membership.membership;
+    this.settingsTask.update(live);
+    this.groups.updateLive({ settings: this.settings(), live });
+    this.slots.setLiveInstances(live.length);
+    this.spread();
+  }
+
+  /** Tells the tasks of new settings or slots. */
+  private spread(): void {
     const settings = this.settings();
     const slots: SlotKnowledge = {
       owned: this.slots.owned,
       slotCount: this.slots.slotCount,
       holders: this.slots.holders,
     };
-    this.settingsTask.update(live);
-    this.groups.update({ settings, live });
-    this.slots.setLiveInstances(live.length);
     this.limits.update(settings, slots);
     this.pools.update(settings, slots);
   }
@@ -387,7 +398,7 @@
           state: 'alive' as const,
         })),
     );
-    this.spread();
+    this.spreadLive();
   }
 
   /** The list is read by relays only, and by an instance that knows of no other. */
@@ -416,6 +427,16 @@
   }
 }
 
+/** @returns groups that the paths may concern; all if it is not known which paths changed */
+function listGroups(
+  paths: readonly string[] | undefined,
+  settings: SettingsIndex,
+): Iterable<GroupId> {
+  if (paths === undefined) return settings.groups.keys();
+  const parsed = paths.map((path) => parseSettingsPath(path));
+  return parsed.flatMap((item) => (item?.kind === 'groups' ? [toBrand<GroupId>(item.id)] : []));
+}
+
 function createSelf(config: ProcessSettings): InstanceRecord {
   return {
     id: toBrand<InstanceId>(config.instance.id),
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -13,7 +13,7 @@
   type OrganisationId,
   ProxyError,
   rateExceeded,
-  type SettingsSnapshot,
+  type SettingsIndex,
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -54,7 +54,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private settings: SettingsSnapshot | undefined;
+  private settings: SettingsIndex | undefined;
 
   private slots: SlotKnowledge = { owned: [], slotCount: 0, holders: new Set() };
 
@@ -85,10 +85,9 @@
    * @param settings - the newest settings
    * @param slots - slots held here
    */
-  update(settings: SettingsSnapshot, slots: SlotKnowledge): void {
+  update(settings: SettingsIndex, slots: SlotKnowledge): void {
     this.settings = settings;
     this.slots = slots;
-    for (const id of settings.organisations.keys()) this.resolve(id);
     for (const [id, { desk }] of this.desks) this.resize(id, desk);
   }
 
--- a/packages/daemon/src/settings/settings-task.ts
+++ b/packages/daemon/src/settings/settings-task.ts
@@ -11,7 +11,7 @@
   type SettingsDelta,
   SettingsReplica,
   type SettingsRevision,
-  type SettingsSnapshot,
+  type SettingsIndex,
   type SettingsState,
   type StalePolicy,
   toBrand,
@@ -28,9 +28,10 @@
 } from './settings-store.js';
 
 /** Instances that one relay serves. */
-const INSTANCES_PER_RELAY = 32;
+const INSTANCES_PER_RELAY = 12;
 const LEAST_RELAYS = 2;
-const PULL_EVERY_MS = 1000;
+const PULL_EVERY_MS = 1500;
+const RELAY_CHECK_MS = 1000;
 const PULL_TIMEOUT_MS = 800;
 const RETRY_MS = 500;
 const WRITE_TIMEOUT_MS = 8000;
@@ -42,7 +43,8 @@
 
 /** What the task tells its owner. */
 export interface SettingsListener {
-  onSettings(snapshot: SettingsSnapshot): void;
+  /** @param paths - paths that changed; undefined if any may have */
+  onSettings(paths: readonly string[] | undefined): void;
 }
 
 /** How strictly withdrawn keys are kept out. */
@@ -108,7 +110,7 @@
   }
 
   /** @returns the newest settings known */
-  get current(): SettingsSnapshot {
+  get current(): SettingsIndex {
     return this.replica.current;
   }
 
@@ -270,7 +272,8 @@
     if (update.kind === 'delta') this.keepDelta(update);
     else this.deltas.length = 0;
     this.guard.setWriters(this.writers);
-    this.listener.onSettings(this.current);
+    const paths = update.kind === 'delta' ? update.changes.map(({ path }) => path) : undefined;
+    this.listener.onSettings(paths);
     this.spreadNews();
   }
 
@@ -297,8 +300,11 @@
   private async runPulls(): Promise<void> {
     while (!this.stopper.signal.aborted) {
       await this.pullOnce();
-      if ((this.ageMs ?? Infinity) > PULL_EVERY_MS * 2) await this.gatherAttestations();
-      await delay(PULL_EVERY_MS);
+      // Others learn from the relays' answers, so that the writers are asked by few.
+      if (this.isRelay && (this.ageMs ?? Infinity) > RELAY_CHECK_MS * 2) {
+        await this.gatherAttestations();
+      }
+      await delay(this.isRelay ? RELAY_CHECK_MS : PULL_EVERY_MS);
     }
   }
 
--- a/packages/daemon/src/upstreams/pools-task.ts
+++ b/packages/daemon/src/upstreams/pools-task.ts
@@ -10,7 +10,7 @@
   type MemberRecord,
   PermitBook,
   type PermitLoanId,
-  type SettingsSnapshot,
+  type SettingsIndex,
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -43,6 +43,10 @@
 export class PoolsTask {
   private readonly desks = new Map<string, MemberDesk>();
 
+  private readonly used = new Set<GroupId>();
+
+  private settings: SettingsIndex | undefined;
+
   private readonly timer: NodeJS.Timeout;
 
   private slots: SlotKnowledge = { owned: [], slotCount: 0, holders: new Set() };
@@ -68,23 +72,29 @@
    * @param settings - the newest settings
    * @param slots - slots held here
    */
-  update(settings: SettingsSnapshot, slots: SlotKnowledge): void {
+  update(settings: SettingsIndex, slots: SlotKnowledge): void {
     this.slots = slots;
-    const present = new Set<string>();
-    for (const group of settings.groups.values()) {
-      for (const member of group.members) {
-        const key = createKey(group.id, member.id);
-        present.add(key);
-        this.configure(key, group, member);
-      }
-    }
+    this.settings = settings;
+    for (const group of this.used) this.configureGroup(group);
     for (const [key, desk] of this.desks) {
-      if (present.has(key)) continue;
+      const group = settings.groups.get(desk.group);
+      if (group?.members.some(({ id }) => id === desk.member.id)) continue;
       desk.pool.setPermits(0);
       this.desks.delete(key);
     }
   }
 
+  /**
+   * Makes the pools of a group; nothing is kept for groups that are not used here.
+   *
+   * @param group - a group that is going to be used
+   */
+  use(group: GroupId): void {
+    if (this.used.has(group)) return;
+    this.used.add(group);
+    this.configureGroup(group);
+  }
+
   /**
    * @param group - a group
    * @param member - one of its members
@@ -108,6 +118,13 @@
     return [...this.desks.values()].map(({ group, pool }) => ({ group, ...pool.state }));
   }
 
+  private configureGroup(id: GroupId): void {
+    const group = this.settings?.groups.get(id);
+    for (const member of group?.members ?? []) {
+      this.configure(createKey(id, member.id), group as GroupRecord, member);
+    }
+  }
+
   private configure(key: string, group: GroupRecord, member: MemberRecord): void {
     const known = this.desks.get(key);
     const moved = known && (known.member.host !== member.host || known.member.port !== member.port);
@@ -175,6 +192,7 @@
   }
 
   private answerAsk(body: PeerBodyOf<'permit.ask'>): PeerBodyOf<'permit.offer'> {
+    this.use(toBrand<GroupId>(body.group));
     const desk = this.desks.get(createKey(body.group, body.member));
     if (desk === undefined) return { kind: 'permit.offer' };
     const loan = desk.book.lend(desk.pool.load, body.has, this.clock.now());
--- /dev/null
+++ b/packages/lab/src/capacity/slope.ts
@@ -0,0 +1,61 @@
+/** Straight lines through measured points. */
+
+/** A measured point. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** A straight line and how well it fits. */
+export interface Fit {
+  readonly slope: number;
+  readonly intercept: number;
+  /** Largest distance of a point from the line, as a share of the range of y. */
+  readonly spread: number;
+}
+
+/**
+ * @param points - at least two points
+ * @returns the line of least squares
+ */
+export function fitLine(points: readonly Point[]): Fit {
+  const count = points.length;
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / count;
+  const covariance = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
+  const slope = variance === 0 ? 0 : covariance / variance;
+  const intercept = meanY - slope * meanX;
+  const ys = points.map(({ y }) => y);
+  const range = Math.max(...ys) - Math.min(...ys);
+  const worst = Math.max(...points.map(({ x, y }) => Math.abs(y - intercept - slope * x)));
+  return { slope, intercept, spread: range === 0 ? 0 : worst / range };
+}
+
+/**
+ * @param values - measured values
+ * @returns the one in the middle
+ */
+export function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+/** A cost measured several times. */
+export interface MeasuredCost {
+  readonly median: number;
+  /** Distance of the farthest run from the median, as a share of the median. */
+  readonly spread: number;
+}
+
+/**
+ * @param runs - number of runs
+ * @param measure - gives the cost of one run
+ * @returns the median cost and its spread
+ */
+export function repeatMeasurement(runs: number, measure: () => number): MeasuredCost {
+  const values = Array.from({ length: runs }, () => measure());
+  const median = computeMedian(values);
+  const worst = Math.max(...values.map((value) => Math.abs(value - median)));
+  return { median, spread: median === 0 ? 0 : worst / median };
+}
--- a/packages/lab/src/faults/shares/shares-cells.ts
+++ b/packages/lab/src/faults/shares/shares-cells.ts
@@ -85,6 +85,7 @@
   leaseMs: toMilliseconds(3000),
   renewEveryMs: toMilliseconds(800),
   readEveryMs: toMilliseconds(800),
+  firstReadMs: toMilliseconds(400),
   settleMs: toMilliseconds(3100),
 };
 
