--- a/packages/core/src/limits/loan-desk.ts
+++ b/packages/core/src/limits/loan-desk.ts
@@ -188,6 +188,11 @@
     this.limiter.returnLoans(now);
   }
 
+  /** @returns whether there is something to be done without a further request */
+  get isBusy(): boolean {
+    return this.waiting.length > 0 || this.questions.size > 0;
+  }
+
   /** @returns requests that wait */
   get waitingCount(): number {
     return this.waiting.length;
--- a/packages/daemon/src/callers/answer-writer.ts
+++ b/packages/daemon/src/callers/answer-writer.ts
@@ -23,7 +23,10 @@
   drained(): Promise<void>;
 }
 
-/** Takes one answer. The last CommandComplete waits until {@link AnswerWriter.releaseHeld}. */
+/** Bytes of an answer that are kept back, so that a request can be run again elsewhere unseen. */
+const KEPT_BACK_BYTES = 16_384;
+
+/** Takes one answer. Its end, and all of a small one, waits until {@link AnswerWriter.complete}. */
 export class AnswerWriter implements AnswerSink {
   /** What the member refused, if it did. */
   failure: ErrorFields | undefined;
@@ -31,8 +34,13 @@
   /** Command tag of the last statement. */
   lastTag = '';
 
+  /** Last CommandComplete, which says that the statement is done. */
   private held: Buffer | undefined;
 
+  private kept: Buffer[] = [];
+
+  private keptBytes = 0;
+
   private forwarded = 0;
 
   private parseCount = 0;
@@ -59,39 +67,60 @@
       const isHidden = this.hidesReadOnly && this.failure.code === READ_ONLY_STATE;
       if (isHidden && !this.hasForwarded) return true;
     }
-    this.releaseHeld();
+    this.keepHeld();
     if (frame.type === BackendCode.CommandComplete) {
       this.lastTag = parseCommandTag(frame.bytes);
       this.held = Buffer.from(frame.bytes);
       return true;
     }
-    return this.forward(frame.bytes);
+    return this.keep(frame.bytes);
   }
 
   async drained(): Promise<void> {
     await this.output.drained();
   }
 
-  /** Lets the caller see the last statement's completion. */
-  releaseHeld(): void {
-    if (this.held === undefined) return;
-    const bytes = this.held;
-    this.held = undefined;
-    this.forward(bytes);
+  /** Lets the caller see the whole answer. */
+  complete(): void {
+    this.keepHeld();
+    this.flush();
   }
 
-  /** Forgets what is held; the caller is told something else. */
-  dropHeld(): void {
+  /** Forgets what the caller has not seen; it is told something else. */
+  discard(): void {
     this.held = undefined;
+    this.kept = [];
+    this.keptBytes = 0;
   }
 
-  /** Passes nothing more on, because the caller has been given another answer. */
+  /** Passes nothing more on, because the caller is given another answer. */
   abandon(): void {
     this.abandoned = true;
+    this.discard();
+  }
+
+  private keepHeld(): void {
+    if (this.held === undefined) return;
+    const bytes = this.held;
     this.held = undefined;
+    this.keep(bytes);
+  }
+
+  private keep(bytes: Buffer): boolean {
+    if (this.hasForwarded) {
+      this.forwarded += 1;
+      return this.output.write(bytes);
+    }
+    this.kept.push(Buffer.from(bytes));
+    this.keptBytes += bytes.length;
+    return this.keptBytes <= KEPT_BACK_BYTES || this.flush();
   }
 
-  private forward(bytes: Buffer): boolean {
+  private flush(): boolean {
+    if (this.kept.length === 0) return true;
+    const bytes = Buffer.concat(this.kept);
+    this.kept = [];
+    this.keptBytes = 0;
     this.forwarded += 1;
     return this.output.write(bytes);
   }
--- a/packages/daemon/src/callers/read-executor.ts
+++ b/packages/daemon/src/callers/read-executor.ts
@@ -98,7 +98,7 @@
       const status = await lease.connection.exchange(writer.request.bytes, writer.sink);
       if (status !== 'idle') lease.discard();
       else lease.release();
-      writer.sink.releaseHeld();
+      writer.sink.complete();
       this.state.advance(seen);
       this.context.count('read-replica');
       return 'done';
@@ -119,7 +119,7 @@
         );
         if (status !== 'idle') lease.discard();
         else lease.release();
-        writer.sink.releaseHeld();
+        writer.sink.complete();
         this.state.advance(seen);
         this.context.count('read-primary');
         return;
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -208,7 +208,7 @@
     if (this.wasRefusedAsReadOnly(writer.sink, lease)) throw new TryElsewhere();
     if (status !== 'idle') {
       this.adopt(lease, status);
-      writer.sink.releaseHeld();
+      writer.sink.complete();
       return;
     }
     tracker.handle({ kind: 'commit-applied' });
@@ -233,9 +233,12 @@
     }
     if (writer.sink.failure !== undefined) {
       await this.rollBackQuietly(lease);
+      writer.sink.complete();
       return;
     }
     const verdict = await this.followCommit(tracker, lease, key, deadline);
+    // What surely did not run, and of which the caller has seen nothing, may run elsewhere.
+    if (verdict.kind === 'not-run' && !writer.sink.hasForwarded) throw new TryElsewhere();
     this.finishVerdict(verdict, writer.sink);
   }
 
@@ -314,7 +317,7 @@
     }
     this.failed = status === 'failed';
     if (status === 'idle') await this.finishInside(lease, writer.sink);
-    else writer.sink.releaseHeld();
+    else writer.sink.complete();
   }
 
   /** The request itself has ended the transaction, as in `UPDATE ...; COMMIT`. */
@@ -342,6 +345,7 @@
   ): Promise<void> {
     if (sink.failure !== undefined) {
       lease.release();
+      sink.complete();
       return;
     }
     const verdict = await this.confirm(tracker, lease, key, deadline);
@@ -349,9 +353,9 @@
   }
 
   private finishVerdict(verdict: CommitVerdict, sink: AnswerWriter): void {
-    if (verdict.kind !== 'done') sink.dropHeld();
+    if (verdict.kind !== 'done') sink.discard();
     this.settle(verdict);
-    sink.releaseHeld();
+    sink.complete();
   }
 
   private async followCommit(
--- a/packages/daemon/src/groups/watcher-task.ts
+++ b/packages/daemon/src/groups/watcher-task.ts
@@ -21,7 +21,8 @@
   log(event: WatcherEvent): void;
 }
 
-const STEP_MS = 50;
+/** Longest time between two steps: attempts and doubts are judged at least this often. */
+const STEP_MS = 100;
 
 /** Owns the control connections and the decisions of one watcher. */
 export class WatcherTask {
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -150,7 +150,6 @@
     this.listTimer = setInterval(() => void this.readList(), LIST_EVERY_MS);
     this.settingsTask.start();
     this.slots.start();
-    this.limits.start();
     await this.waitUntilReady();
     await this.callers.start(callers.host, callers.port);
     this.logger.info({ event: 'ready', callers, admin, peers: { port: peers.port } }, 'ready');
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -52,6 +52,9 @@
 export class LimitsTask {
   private readonly desks = new Map<OrganisationId, OrganisationDesk>();
 
+  /** Organisations with requests that wait, questions that are out, or loans to settle. */
+  private readonly busy = new Set<OrganisationId>();
+
   private timer: NodeJS.Timeout | undefined;
 
   private settings: SettingsIndex | undefined;
@@ -67,16 +70,13 @@
     hub.handle('loan.settle', (body) => this.takeSettlement(body));
   }
 
-  /** Starts to serve waiting requests and to settle loans. */
-  start(): void {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
-  }
-
   /** Gives borrowed tokens back and stops. */
   stop(): void {
-    clearInterval(this.timer);
-    for (const { desk } of this.desks.values()) desk.returnLoans(this.clock.now());
-    this.tick();
+    for (const [organisation, entry] of this.desks) {
+      entry.desk.returnLoans(this.clock.now());
+      this.step(organisation, entry);
+    }
+    clearTimeout(this.timer);
   }
 
   /**
@@ -100,7 +100,10 @@
   async admit(organisation: OrganisationId): Promise<void> {
     const entry = this.resolve(organisation);
     const ticket = entry.desk.request(this.clock.now());
-    if (ticket === undefined) return;
+    if (ticket === undefined) {
+      this.watch(organisation);
+      return;
+    }
     await new Promise<void>((resolve, reject) => {
       entry.waiters.set(ticket, { resolve, reject });
       this.step(organisation, entry);
@@ -132,8 +135,17 @@
     desk.resize(rate, (organisation?.burst ?? 0) * part, holders, this.clock.now());
   }
 
+  /** Steps an organisation's desk soon, and again while it is busy; idle ones cost nothing. */
+  private watch(organisation: OrganisationId): void {
+    this.busy.add(organisation);
+    this.timer ??= setTimeout(() => this.tick(), TICK_MS);
+  }
+
   private tick(): void {
-    for (const [organisation, entry] of this.desks) this.step(organisation, entry);
+    this.timer = undefined;
+    const due = [...this.busy];
+    this.busy.clear();
+    for (const organisation of due) this.step(organisation, this.resolve(organisation));
   }
 
   private step(organisation: OrganisationId, entry: OrganisationDesk): void {
@@ -146,6 +158,7 @@
     for (const { lender, loan, unspent } of actions.settlements) {
       this.hub.tell(lender, { kind: 'loan.settle', organisation, loan, unspent });
     }
+    if (entry.desk.isBusy) this.watch(organisation);
   }
 
   private async ask(
--- a/packages/daemon/src/peers/membership-task.ts
+++ b/packages/daemon/src/peers/membership-task.ts
@@ -13,7 +13,7 @@
 import { z } from 'zod';
 
 const MAC_BYTES = 16;
-const STEP_MS = 50;
+const STEP_MS = 150;
 
 const recordSchema = z.object({
   id: z.string(),
--- a/packages/daemon/src/upstreams/pools-task.ts
+++ b/packages/daemon/src/upstreams/pools-task.ts
@@ -25,7 +25,7 @@
 } from './upstream-pool.js';
 
 const PERMIT_LIFE_MS = toMilliseconds(4000);
-const TICK_MS = 100;
+const TICK_MS = 150;
 const ASK_TIMEOUT_MS = 200;
 /** User name under which the fleet logs in at members. */
 const SERVICE_USER = 'heatherledge';
--- a/packages/lab/src/capacity/control-costs.ts
+++ b/packages/lab/src/capacity/control-costs.ts
@@ -206,11 +206,14 @@
 }
 
 function measureSettings(): { settingsBytes: Fit; changeMicros: Fit } {
+  // All replicas stay in memory, so that none is collected while the next one is measured.
+  const replicas: SettingsReplica[] = [];
   const bytes: { x: number; y: number }[] = [];
   const micros: { x: number; y: number }[] = [];
   for (const groups of GROUP_COUNTS) {
     const before = readHeapBytes();
     const replica = new SettingsReplica();
+    replicas.push(replica);
     // Read from text, as entries that come from elsewhere share nothing with each other.
     const entries = JSON.parse(JSON.stringify(createSettings(groups))) as ReturnType<
       typeof createSettings
@@ -220,11 +223,12 @@
     bytes.push({ x: groups, y: readHeapBytes() - before });
     micros.push({ x: groups, y: measureChange(replica) });
   }
+  if (replicas.length !== GROUP_COUNTS.length) throw new Error('a replica is missing');
   return { settingsBytes: fitLine(bytes), changeMicros: fitLine(micros) };
 }
 
 function measureChange(replica: SettingsReplica): number {
-  return measureMicros(20, (round) => {
+  return measureMicros(500, (round) => {
     const from = replica.current.revision;
     replica.apply({
       kind: 'delta',
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -8,3 +8,5 @@
 export * from './shares/admission-audit.js';
 export * from './shares/limits-experiment.js';
 export * from './shares/load-shapes.js';
+export * from './capacity/control-costs.js';
+export * from './capacity/slope.js';
--- a/packages/stand-ins/src/member/member-session.ts
+++ b/packages/stand-ins/src/member/member-session.ts
@@ -26,6 +26,7 @@
 } from '@heatherledge/wire';
 import { CONTROL_USER } from './member-config.js';
 import type { Member, WriteTransaction } from './member.js';
+import { evaluate } from './sql/evaluate.js';
 import type { ResultColumn, StatementResult } from './sql/execute-select.js';
 import {
   countParameters,
@@ -419,7 +420,6 @@
   const name = call.funcname.at(-1).String.sval as string;
   const handler = CONTROL_FUNCTIONS[name];
   if (handler === undefined) throw new SqlFailure('42883', `function ${name} does not exist`);
-  const { evaluate } = await import('./sql/evaluate.js');
   const args = (call.args ?? []).map((arg: unknown) => evaluate(arg, { params }));
   const answer = JSON.stringify(await handler(member, args));
   return { tag: 'SELECT 1', columns: [{ name: 'answer', type: 'text' }], rows: [[answer]] };
--- /dev/null
+++ b/scripts/src/fleet/instance-figures.ts
@@ -0,0 +1,38 @@
+/** Figures of a running instance, read from its metrics. */
+import type { InstanceProcess } from './local-fleet.js';
+
+/** Figures of a running instance. */
+export interface InstanceFigures {
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+  readonly heapBytes: number;
+  readonly peerBytes: number;
+  readonly platformCalls: number;
+}
+
+/**
+ * @param instance - an instance
+ * @returns its figures now
+ */
+export async function readFigures(instance: InstanceProcess): Promise<InstanceFigures> {
+  const response = await fetch(`http://127.0.0.1:${instance.adminPort}/metrics`);
+  const text = await response.text();
+  return {
+    cpuSeconds: sumMetric(text, 'process_cpu_seconds_total'),
+    residentBytes: sumMetric(text, 'process_resident_memory_bytes'),
+    heapBytes:
+      sumMetric(text, 'nodejs_heap_size_used_bytes') +
+      sumMetric(text, 'nodejs_external_memory_bytes'),
+    peerBytes: sumMetric(text, 'heatherledge_peer_bytes'),
+    platformCalls: sumMetric(text, 'heatherledge_platform_calls'),
+  };
+}
+
+function sumMetric(text: string, name: string): number {
+  let sum = 0;
+  for (const line of text.split('\n')) {
+    if (!line.startsWith(name) || !/^[ {]/.test(line.slice(name.length))) continue;
+    sum += Number(line.slice(line.lastIndexOf(' ') + 1));
+  }
+  return sum;
+}
