--- a/packages/core/src/settings/validate-change.ts
+++ b/packages/core/src/settings/validate-change.ts
@@ -108,7 +108,9 @@
 
 function findReferencesOf(path: string, value: unknown, known: KnownIds): Finding[] {
   const parsed = parseSettingsPath(path);
-  if (parsed?.kind === 'keys') {
+  // A value of the wrong shape is reported as such; it refers to nothing.
+  if (!parsed || !resolveSettingsSchema(parsed.kind).safeParse(value).success) return [];
+  if (parsed.kind === 'keys') {
     return findMissing(
       path,
       'organisation',
@@ -116,14 +118,14 @@
       known.organisations,
     );
   }
-  if (parsed?.kind === 'routes') {
+  if (parsed.kind === 'routes') {
     const route = value as Partial<RouteSettings>;
     return [
       ...findMissing(path, 'group', [route.group ?? ''], known.groups),
       ...findMissing(path, 'organisations', route.organisations ?? [], known.organisations),
     ];
   }
-  if (parsed?.kind === 'groups') return findRepeatedMembers(path, value as GroupSettings);
+  if (parsed.kind === 'groups') return findRepeatedMembers(path, value as GroupSettings);
   return [];
 }
 
--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -176,6 +176,7 @@
   }
 
   private async runUnit(unit: RequestUnit): Promise<void> {
+    const startedAt = this.context.clock.now();
     try {
       this.checkKey();
       await this.dispatch(unit);
@@ -185,6 +186,7 @@
     if (this.ended) return;
     this.tellPosition();
     this.port.write(createReadyForQuery(this.transactions.status));
+    this.context.observeRequest(this.context.clock.now() - startedAt);
   }
 
   /** The key is looked up again for each request, so that a withdrawal reaches running sessions. */
--- a/packages/daemon/src/callers/serving-context.ts
+++ b/packages/daemon/src/callers/serving-context.ts
@@ -35,4 +35,6 @@
   positionOf(group: GroupId): PrimaryPosition;
   count(event: ServingEvent): void;
   countError(name: string): void;
+  /** @param ms - time from a request to the end of its answer, in milliseconds */
+  observeRequest(ms: number): void;
 }
--- a/packages/daemon/src/groups/groups-task.ts
+++ b/packages/daemon/src/groups/groups-task.ts
@@ -98,6 +98,11 @@
     return [...this.watchers.values()].map((watcher) => watcher.view);
   }
 
+  /** @returns bytes exchanged with members by the watchers that run now */
+  get controlBytes(): number {
+    return [...this.watchers.values()].reduce((sum, watcher) => sum + watcher.bytes, 0);
+  }
+
   /** Stops everything. */
   stop(): void {
     clearInterval(this.timer);
--- a/packages/daemon/src/groups/watcher-task.ts
+++ b/packages/daemon/src/groups/watcher-task.ts
@@ -62,6 +62,11 @@
     this.perform(this.watcher.handleOpinion(opinion, this.clock.now()));
   }
 
+  /** @returns bytes exchanged with the group's members so far */
+  get bytes(): number {
+    return this.control.bytes;
+  }
+
   /** @returns the group as seen here */
   get view(): GroupView {
     return this.watcher.view;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,3 +7,4 @@
 export * from './sql/classify.js';
 export * from './sql/commenter.js';
 export * from './peers/peer-messages.js';
+export * from './runtime/metrics.js';
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -17,6 +17,7 @@
   type SessionPosition,
   toBrand,
   toMilliseconds,
+  type WatcherTimings,
 } from '@heatherledge/core';
 import type { Logger } from 'pino';
 import { xoroshiro128plus, unsafeUniformIntDistribution } from 'pure-rand';
@@ -285,7 +286,7 @@
       this.directory,
       this.hub,
       this.clock,
-      DEFAULT_WATCHER_TIMINGS,
+      createWatcherTimings(this.config),
       this.random,
       (event) => {
         this.metrics.promotions.inc({ event: event.event });
@@ -325,6 +326,7 @@
       positionOf: (group) => this.resolvePosition(group),
       count: (event) => this.metrics.served.inc({ event }),
       countError: (error) => this.metrics.errors.inc({ error }),
+      observeRequest: (ms) => this.metrics.requestSeconds.observe(ms / 1000),
     };
   }
 
@@ -417,6 +419,8 @@
     this.metrics.settingsAgeSeconds.set(ageMs === undefined ? -1 : ageMs / 1000);
     this.metrics.settingsRevision.set(this.settings().revision);
     this.metrics.slots.set(this.slots.owned.length);
+    this.metrics.controlBytes.set(this.groups.controlBytes);
+    this.metrics.watchedGroups.set(this.groups.watched.length);
     const { sent, received } = this.hub.bytes;
     this.metrics.peerBytes.set({ direction: 'sent' }, sent + this.membership.bytesSent);
     this.metrics.peerBytes.set({ direction: 'received' }, received);
@@ -436,6 +440,16 @@
   return parsed.flatMap((item) => (item?.kind === 'groups' ? [toBrand<GroupId>(item.id)] : []));
 }
 
+/** Replicas are probed, and opinions told, at this share of the primary's probes. */
+const CALM_FACTOR = 5;
+
+function createWatcherTimings(config: ProcessSettings): WatcherTimings {
+  const { probeEveryMs, suspectAfterMs } = config.failover;
+  const calmEveryMs = probeEveryMs * CALM_FACTOR;
+  const opinionLifeMs = calmEveryMs + DEFAULT_WATCHER_TIMINGS.orderTimeoutMs;
+  return { ...DEFAULT_WATCHER_TIMINGS, probeEveryMs, suspectAfterMs, calmEveryMs, opinionLifeMs };
+}
+
 function createSelf(config: ProcessSettings): InstanceRecord {
   return {
     id: toBrand<InstanceId>(config.instance.id),
--- a/packages/daemon/src/process-settings/schema.ts
+++ b/packages/daemon/src/process-settings/schema.ts
@@ -97,6 +97,27 @@
     })
     .prefault({})
     .describe('Withdrawn keys at an instance that is cut off.'),
+  failover: z
+    .strictObject({
+      probeEveryMs: z
+        .number()
+        .int()
+        .min(50)
+        .max(2000)
+        .default(200)
+        .describe(
+          'Period of probes of a primary, in milliseconds; replicas are probed at a fifth.',
+        ),
+      suspectAfterMs: z
+        .number()
+        .int()
+        .min(200)
+        .max(5000)
+        .default(700)
+        .describe('A primary without a good answer for this long is suspected, in milliseconds.'),
+    })
+    .prefault({})
+    .describe('Watching database groups.'),
   shutdown: z
     .strictObject({
       graceMs: z
--- a/packages/daemon/src/runtime/metrics.ts
+++ b/packages/daemon/src/runtime/metrics.ts
@@ -60,6 +60,18 @@
     registers: [this.registry],
   });
 
+  readonly controlBytes = new Gauge({
+    name: 'heatherledge_control_bytes',
+    help: 'Bytes exchanged with database members by the watchers that run now.',
+    registers: [this.registry],
+  });
+
+  readonly watchedGroups = new Gauge({
+    name: 'heatherledge_watched_groups',
+    help: 'Database groups that this instance watches.',
+    registers: [this.registry],
+  });
+
   readonly platformCalls = new Gauge({
     name: 'heatherledge_platform_calls',
     help: 'Calls of the platform since the start, by purpose.',
--- a/packages/daemon/src/upstreams/member-control.ts
+++ b/packages/daemon/src/upstreams/member-control.ts
@@ -18,6 +18,10 @@
 
   private members = new Map<MemberId, MemberRecord>();
 
+  private readonly open = new Set<UpstreamConnection>();
+
+  private closedBytes = 0;
+
   /** @param members - the group's members */
   configure(members: readonly MemberRecord[]): void {
     this.members = new Map(members.map((member) => [member.id, member]));
@@ -39,6 +43,11 @@
     return answer;
   }
 
+  /** @returns bytes sent to members and received from them so far */
+  get bytes(): number {
+    return [...this.open].reduce((sum, connection) => sum + connection.bytes, this.closedBytes);
+  }
+
   /** Ends all connections. */
   close(): void {
     for (const id of [...this.connections.keys()]) this.drop(id);
@@ -66,14 +75,20 @@
     const address = { host, port, user: CONTROL_USER, database: 'postgres' };
     const opening = UpstreamConnection.open(address, timeoutMs);
     this.connections.set(member, opening);
-    return opening;
+    const connection = await opening;
+    this.open.add(connection);
+    return connection;
   }
 
   private drop(member: MemberId): void {
     const connection = this.connections.get(member);
     this.connections.delete(member);
     connection?.then(
-      (open) => open.close(),
+      (open) => {
+        this.closedBytes += open.bytes;
+        this.open.delete(open);
+        open.close();
+      },
       () => {},
     );
   }
--- a/packages/daemon/src/upstreams/upstream-connection.ts
+++ b/packages/daemon/src/upstreams/upstream-connection.ts
@@ -112,6 +112,11 @@
     return this.lost === undefined && this.exchanges.length === 0;
   }
 
+  /** @returns bytes sent and received so far */
+  get bytes(): number {
+    return this.socket.bytesRead + this.socket.bytesWritten;
+  }
+
   /** @returns milliseconds since the last message came */
   get idleMs(): number {
     return performance.now() - this.lastUsed;
--- /dev/null
+++ b/packages/lab/src/bin/write-reference.ts
@@ -0,0 +1,6 @@
+#!/usr/bin/env node
+/** Writes the generated reference pages. */
+import { writeFileSync } from 'node:fs';
+import { createReferencePages } from '../reference/reference-pages.js';
+
+for (const { file, text } of await createReferencePages()) writeFileSync(file, text);
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -10,3 +10,4 @@
 export * from './shares/load-shapes.js';
 export * from './capacity/control-costs.js';
 export * from './capacity/slope.js';
+export * from './reference/reference-pages.js';
--- /dev/null
+++ b/packages/lab/test/units/reference-pages.test.ts
@@ -0,0 +1,11 @@
+import { readFileSync } from 'node:fs';
+import { createReferencePages } from '@heatherledge/lab';
+import { describe, expect, it } from 'vitest';
+
+describe('reference pages', () => {
+  it('are those that the code gives', async () => {
+    for (const { file, text } of await createReferencePages()) {
+      expect(readFileSync(file, 'utf8'), `${file}; run npm run docs`).toBe(text);
+    }
+  });
+});
--- a/scripts/src/fleet/instance-figures.ts
+++ b/scripts/src/fleet/instance-figures.ts
@@ -7,6 +7,8 @@
   readonly residentBytes: number;
   readonly heapBytes: number;
   readonly peerBytes: number;
+  readonly controlBytes: number;
+  readonly watchedGroups: number;
   readonly platformCalls: number;
 }
 
@@ -24,6 +26,8 @@
       sumMetric(text, 'nodejs_heap_size_used_bytes') +
       sumMetric(text, 'nodejs_external_memory_bytes'),
     peerBytes: sumMetric(text, 'heatherledge_peer_bytes'),
+    controlBytes: sumMetric(text, 'heatherledge_control_bytes'),
+    watchedGroups: sumMetric(text, 'heatherledge_watched_groups'),
     platformCalls: sumMetric(text, 'heatherledge_platform_calls'),
   };
 }
--- a/scripts/src/measure-capacity.ts
+++ b/scripts/src/measure-capacity.ts
@@ -51,10 +51,18 @@
     );
   const cpu = rate(({ cpuSeconds }) => cpuSeconds);
   const bytes = rate(({ peerBytes }) => peerBytes);
+  const control = rate(({ controlBytes }) => controlBytes);
+  const watched = after.map(({ watchedGroups }) => watchedGroups);
+  const toPoints = (values: number[]): { x: number; y: number }[] =>
+    values.map((y, index) => ({ x: watched[index] ?? 0, y }));
+  const cpuFit = fitLine(toPoints(cpu.map((share) => share * 100)));
   const calls = rate(({ platformCalls }) => platformCalls);
   return {
     restCpuPercentMost: 100 * Math.max(...cpu),
     restCpuPercentMean: (100 * cpu.reduce((sum, value) => sum + value, 0)) / cpu.length,
+    restCpuPercentBase: cpuFit.intercept,
+    restCpuPercentPerWatchedGroup: cpuFit.slope,
+    controlBytesPerSecondPerWatchedGroup: fitLine(toPoints(control)).slope,
     restPeerBytesPerSecondMost: Math.max(...bytes),
     restPlatformCallsPerSecondSum: calls.reduce((sum, value) => sum + value, 0),
     restResidentMegabytesMost: Math.max(...after.map((f) => f.residentBytes)) / 1e6,
