Measure the gap in writes of a change of primary by cause

Cause: one kill in the smoke run says little of the gap that callers see. Also: formatting of a test that the check in a clean clone refused.

--- a/packages/core/test/units/sharing.test.ts
+++ b/packages/core/test/units/sharing.test.ts
@@ -153,8 +153,9 @@
       const deliver = (sends: readonly MembershipSend[]): void => {
         for (const { to, message } of sends) {
           const target = fleet[records.findIndex(({ id }) => id === to.id)];
-          if (!isAway(to.id) && !isAway(message.from))
-            {deliver(target?.handle(message, at(now)) ?? []);}
+          if (!isAway(to.id) && !isAway(message.from)) {
+            deliver(target?.handle(message, at(now)) ?? []);
+          }
         }
       };
       fleet.forEach((membership, index) => {
--- a/packages/lab/src/faults/group/group-world.ts
+++ b/packages/lab/src/faults/group/group-world.ts
@@ -6,6 +6,7 @@
   type MemberId,
   toBrand,
   type WatchedMember,
+  type WatcherTimings,
 } from '@heatherledge/core';
 import { EventQueue } from '../event-queue.js';
 import { FakeNetwork, type NetworkLatencies, type NodeName } from '../fake-network.js';
@@ -45,6 +46,10 @@
   readonly latencies: NetworkLatencies;
   /** Guards that are taken out. */
   readonly without?: ReadonlySet<GroupGuard>;
+  /** Callers of each style. */
+  readonly clientsPerStyle?: number;
+  /** The watchers' periods; those of the product unless told otherwise. */
+  readonly timings?: WatcherTimings;
   /** Moment after which callers start nothing new, in milliseconds. */
   readonly clientsStopAt: number;
 }
@@ -67,10 +72,13 @@
 
   private readonly plan: WatchedMember[];
 
+  private readonly timings: WatcherTimings;
+
   constructor(options: WorldOptions) {
     this.random = new SeededRandom(options.seed);
     this.network = new FakeNetwork(this.queue, this.random, options.latencies);
     const without = options.without ?? new Set<GroupGuard>();
+    this.timings = options.timings ?? DEFAULT_WATCHER_TIMINGS;
     this.plan = DOMAINS.map((domain, index) => ({
       id: toBrand<MemberId>(`member-${index + 1}`),
       failureDomain: toBrand<FailureDomainId>(domain),
@@ -78,7 +86,7 @@
     }));
     DOMAINS.forEach((domain, index) => this.addDomain(domain, index + 1, without));
     for (const watcher of this.watchers.values()) this.startWatcher(watcher);
-    this.addClients(options.clientsStopAt);
+    this.addClients(options.clientsStopAt, options.clientsPerStyle ?? 1);
   }
 
   /** @returns the member that leads in the highest term */
@@ -165,14 +173,7 @@
     };
     this.watchers.set(
       watcher,
-      new ModelWatcher(
-        watcher,
-        () => surroundings,
-        network,
-        random,
-        DEFAULT_WATCHER_TIMINGS,
-        without,
-      ),
+      new ModelWatcher(watcher, () => surroundings, network, random, this.timings, without),
     );
     this.entries.set(entry, new ModelEntry(entry, this.members, network, random, without));
   }
@@ -188,9 +189,10 @@
     }
   }
 
-  private addClients(stopsAt: number): void {
+  private addClients(stopsAt: number, perStyle: number): void {
     const entries = [...this.entries.values()];
-    STYLES.forEach((style, index) => {
+    const styles = Array.from({ length: perStyle }, () => STYLES).flat();
+    styles.forEach((style, index) => {
       const name = `client-${index + 1}`;
       this.network.addNode(name, 'client');
       const client = new ModelClient(
