Let requests wait longer for tokens, in a bounded line

Cause: measure:drain, nine instances restarted under load: one of 1,896 writes was refused as above its rate at an instance that had just started and held no slot; four lenders had not answered within 250 ms. Ruled out: that the organisation was above its rate (120 of 2,000 a second). Change: a request waits up to 500 ms; at most 500 wait for one organisation at one instance, those beyond are refused at once. Faults for processes: sessions of a stand-in member that go silent for good.

--- a/packages/core/src/limits/loan-desk.ts
+++ b/packages/core/src/limits/loan-desk.ts
@@ -21,6 +21,8 @@
   readonly fanout: number;
   /** Longest time for which a request waits for a token. */
   readonly longestWaitMs: Milliseconds;
+  /** Requests that may wait at once; those beyond are refused without waiting. */
+  readonly mostWaiting: number;
   /** A question without an answer is given up after this. */
   readonly askTimeoutMs: Milliseconds;
   /** A lender that had nothing is not asked again for this long. */
@@ -217,16 +219,12 @@
   }
 
   private refuseOverdue(now: Milliseconds): DeskRefusal[] {
-    const refused: DeskRefusal[] = [];
-    for (;;) {
-      const first = this.waiting[0];
-      if (first === undefined || first.until > now) return refused;
-      this.waiting.shift();
-      refused.push({
-        ticket: first.ticket,
-        retryAfterMs: this.limiter.resolveRetryAfterMs(now),
-      });
+    const refused: WaitingRequest[] = this.waiting.splice(this.rules.mostWaiting);
+    while (this.waiting[0] !== undefined && this.waiting[0].until <= now) {
+      refused.push(...this.waiting.splice(0, 1));
     }
+    const retryAfterMs = refused.length === 0 ? 0 : this.limiter.resolveRetryAfterMs(now);
+    return refused.map(({ ticket }) => ({ ticket, retryAfterMs }));
   }
 
   private askLenders(now: Milliseconds): LoanQuestion[] {
--- a/packages/core/test/units/limits.test.ts
+++ b/packages/core/test/units/limits.test.ts
@@ -1,5 +1,8 @@
 import {
   createSlotRecord,
+  DEFAULT_LOAN_TIMINGS,
+  LoanDesk,
+  type OrganisationId,
   type InstanceId,
   SlotClaims,
   toBrand,
@@ -79,3 +82,48 @@
     expect(claims.resolveOwned(at(200))).toEqual([]);
   });
 });
+
+describe('LoanDesk', () => {
+  const rules = {
+    loans: DEFAULT_LOAN_TIMINGS,
+    fanout: 2,
+    longestWaitMs: at(500),
+    mostWaiting: 2,
+    askTimeoutMs: at(100),
+    emptyLenderMs: at(100),
+  };
+
+  function createDesk(name: string): LoanDesk {
+    return new LoanDesk(toBrand<InstanceId>(name), toBrand<OrganisationId>('o'), rules);
+  }
+
+  it('refuses at once what would wait behind too many others', () => {
+    const desk = createDesk('a');
+    const tickets = [1, 2, 3].map(() => desk.request(at(0)));
+    const { refused } = desk.step(at(0));
+    expect(refused.map(({ ticket }) => ticket)).toEqual([tickets[2]]);
+  });
+
+  it('admits a waiting request with borrowed tokens', () => {
+    const [borrower, lender] = [createDesk('a'), createDesk('b')];
+    const holders = new Set([toBrand<InstanceId>('b')]);
+    borrower.resize(0, 0, holders, at(0));
+    lender.resize(100, 10, holders, at(0));
+    const ticket = borrower.request(at(1000));
+    for (const { ask, tokens } of borrower.step(at(1000)).questions) {
+      borrower.handleOffer(ask, lender.handleAsk(tokens, at(1005)), at(1010));
+    }
+    expect(borrower.step(at(1010)).admitted).toEqual([ticket]);
+  });
+
+  it('leaves an offer alone that comes after its question was given up', () => {
+    const [borrower, lender] = [createDesk('a'), createDesk('b')];
+    borrower.resize(0, 0, new Set([toBrand<InstanceId>('b')]), at(0));
+    lender.resize(100, 10, new Set(), at(0));
+    borrower.request(at(1000));
+    const [question] = borrower.step(at(1000)).questions;
+    borrower.step(at(1200));
+    borrower.handleOffer(question?.ask ?? 0, lender.handleAsk(5, at(1200)), at(1200));
+    expect(borrower.describe(at(1200)).borrowed).toBe(0);
+  });
+});
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -31,7 +31,8 @@
 export const DEFAULT_DESK_RULES: DeskRules = {
   loans: DEFAULT_LOAN_TIMINGS,
   fanout: 4,
-  longestWaitMs: toMilliseconds(250),
+  longestWaitMs: toMilliseconds(500),
+  mostWaiting: 500,
   askTimeoutMs: toMilliseconds(100),
   emptyLenderMs: toMilliseconds(150),
 };
--- a/packages/lab/src/faults/settings/settings-world.ts
+++ b/packages/lab/src/faults/settings/settings-world.ts
@@ -215,7 +215,7 @@
     if (life !== this.life) return;
     void this.pullFromPlatform(life);
     for (const other of this.world.instances) if (other !== this) this.pullFrom(other, life);
-    const network = this.world.network;
+    const { network } = this.world;
     network.later(this.name, PULL_MS, () => this.tick(life));
   }
 
--- a/packages/lab/src/shares/loan-strategy.ts
+++ b/packages/lab/src/shares/loan-strategy.ts
@@ -284,7 +284,8 @@
     smoothingMs: toMilliseconds(400),
   },
   fanout: 4,
-  longestWaitMs: toMilliseconds(250),
+  longestWaitMs: toMilliseconds(500),
+  mostWaiting: 500,
   askTimeoutMs: toMilliseconds(100),
   emptyLenderMs: toMilliseconds(150),
 };
--- a/packages/lab/src/workload/roaming-session.ts
+++ b/packages/lab/src/workload/roaming-session.ts
@@ -28,6 +28,9 @@
 /** Chooses the next target; the caller roams. */
 export type TargetChooser = () => CallerTarget;
 
+/** Answers at connect after which a balancer tries another instance. */
+const ELSEWHERE = new Set(['ECONNREFUSED', 'ECONNRESET', '57P01', '53300']);
+const MOST_CONNECTS = 4;
 const TABLE = 'ledger';
 const MOST_TRIES = 12;
 const RETRY_PAUSE_MS = 30;
@@ -120,6 +123,18 @@
     return seen;
   }
 
+  /** Connects as through a balancer: an instance that takes nobody is passed over. */
+  private async connect(position: string): Promise<Caller> {
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        return await Caller.connect(this.choose(), position);
+      } catch (error) {
+        const code = (error as { code?: string }).code ?? '';
+        if (attempt >= MOST_CONNECTS || !ELSEWHERE.has(code)) throw error;
+      }
+    }
+  }
+
   private async tryWrite(
     key: string,
     session: number,
@@ -127,7 +142,7 @@
   ): Promise<{ outcome: WriteRecord['outcome']; position: string }> {
     let caller: Caller;
     try {
-      caller = await Caller.connect(this.choose(), position);
+      caller = await this.connect(position);
     } catch (error) {
       this.countRefusal('connect', error);
       return { outcome: 'not-run', position };
@@ -147,7 +162,7 @@
     if (record?.outcome !== 'done') return position;
     let caller: Caller;
     try {
-      caller = await Caller.connect(this.choose(), position);
+      caller = await this.connect(position);
     } catch {
       return position;
     }
--- a/packages/stand-ins/src/bin/stand-in-member.ts
+++ b/packages/stand-ins/src/bin/stand-in-member.ts
@@ -9,6 +9,9 @@
 /** Faults are switched, and state is read, on a member's port plus this. */
 const FAULT_PORT_OFFSET = 200;
 
+/** Faults to switch, and whether connections that are open now go silent for good. */
+type FaultRequest = Partial<MemberFaults> & { readonly silence?: boolean };
+
 const [file = '', group = '', id = ''] = process.argv.slice(2);
 const settings = readPlannedSettings(file);
 const path = Object.keys(settings).find((name) => name.endsWith(`/groups/${group}`)) ?? '';
@@ -24,7 +27,9 @@
   request.on('data', (chunk: Buffer) => chunks.push(chunk));
   request.on('end', () => {
     const text = Buffer.concat(chunks).toString('utf8');
-    if (text !== '') Object.assign(server.member.faults, JSON.parse(text) as MemberFaults);
+    const { silence, ...faults } = JSON.parse(text === '' ? '{}' : text) as FaultRequest;
+    Object.assign(server.member.faults, faults);
+    if (silence) server.silenceSessions();
     const { status } = server.member;
     response.end(JSON.stringify({ status, peakSessions: server.peakSessions }));
   });
--- a/packages/stand-ins/src/member/member-server.ts
+++ b/packages/stand-ins/src/member/member-server.ts
@@ -46,6 +46,11 @@
     });
   }
 
+  /** Lets nothing more pass on the connections that are open now; new ones work. */
+  silenceSessions(): void {
+    for (const session of this.sessions) session.isSilent = true;
+  }
+
   /** Ends everything at once. */
   stop(): void {
     this.member.stop();
--- a/packages/stand-ins/src/member/member-session.ts
+++ b/packages/stand-ins/src/member/member-session.ts
@@ -84,6 +84,9 @@
 export class MemberSession {
   isControl = false;
 
+  /** Set if something between the ends has lost track of the connection: nothing passes any more. */
+  isSilent = false;
+
   private readonly splitter = new FrameSplitter(MESSAGE_LIMIT_BYTES);
 
   private startup: Buffer | undefined = Buffer.alloc(0);
@@ -124,6 +127,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    if (this.isSilent) return;
     if (this.startup !== undefined) {
       this.startup = Buffer.concat([this.startup, chunk]);
       this.queue = this.queue.then(() => this.readStartup());
