End exchanges that get no answer, and keep members' state over restarts

Cause, found by faults:processes (15 cells, 5 above 8 s): once connections to the members had gone silent, requests waited on them for ever and every later cell stood still for 8 s; a frozen primary held its callers for 4.3 s although its successor was ready after 0.8 s. Killed stand-in members came back without promise and log, so that watchers rightly did not count them and a later freeze found no majority (4.5 s). The gap after a kill was 3.3 s because the workload read its writes back by a scan that kept the only replica at a full core.

Ruled out: the watchers' timing (promoted 0.05 to 0.8 s after the suspicion) and the pools' pacing.

--- a/packages/daemon/src/callers/outcome-records.ts
+++ b/packages/daemon/src/callers/outcome-records.ts
@@ -16,6 +16,8 @@
 const UNIQUE_VIOLATION = '23505';
 const UNDEFINED_TABLE = '42P01';
 const CONFIRM_MS = 1000;
+/** Writing a record waits for an open transaction with the same key. */
+const RECORD_TIMEOUT_MS = 2500;
 const RETRY_MS = 100;
 
 /** Identifies one transaction of one organisation, over all retries. */
@@ -49,7 +51,7 @@
  */
 export async function writeOutcome(connection: UpstreamConnection, key: OutcomeKey): Promise<void> {
   try {
-    await connection.query(createInsert(key));
+    await connection.query(createInsert(key), RECORD_TIMEOUT_MS);
   } catch (error) {
     if (!(error instanceof UpstreamFailure)) throw error;
     if (error.fields.code === UNIQUE_VIOLATION) throw new OutcomeExists();
@@ -101,7 +103,10 @@
     await connection.query('BEGIN');
     const found = await isRecorded(connection, key);
     await connection.query('ROLLBACK');
-    const position = await connection.ask<SessionPosition>(`heatherledge.confirm(${CONFIRM_MS})`);
+    const position = await connection.ask<SessionPosition>(
+      `heatherledge.confirm(${CONFIRM_MS})`,
+      CONFIRM_MS * 1.3,
+    );
     lease.release();
     return { found, position };
   } catch (error) {
--- a/packages/daemon/src/callers/read-executor.ts
+++ b/packages/daemon/src/callers/read-executor.ts
@@ -24,6 +24,8 @@
 const MEMBER_WAIT_MS = 200;
 /** Longest wait for the primary to confirm what a read has seen. */
 const CONFIRM_MS = 1000;
+/** Time beyond a member's own wait after which its connection is taken for silent. */
+const ANSWER_MARGIN_MS = 300;
 
 /** Runs one session's reads. */
 export class ReadExecutor {
@@ -80,7 +82,7 @@
     } catch {
       return 'try-next';
     }
-    return this.runAtReplica(unit, lease, needed, route.waitMs);
+    return this.runAtReplica(unit, lease, needed, route.waitMs, deadline);
   }
 
   private async runAtReplica(
@@ -88,14 +90,17 @@
     lease: ConnectionLease,
     needed: SessionPosition,
     waitMs: number,
+    deadline: Milliseconds,
   ): Promise<Attempt> {
     const writer = this.createWriter(unit, lease);
     try {
       const { term, position } = needed;
       const seen = await lease.connection.ask<SessionPosition>(
         `heatherledge.await(${term}, ${position}, ${waitMs})`,
+        waitMs + ANSWER_MARGIN_MS,
       );
-      const status = await lease.connection.exchange(writer.request.bytes, writer.sink);
+      const { bytes } = writer.request;
+      const status = await lease.connection.exchange(bytes, writer.sink, this.leftUntil(deadline));
       if (status !== 'idle') lease.discard();
       else lease.release();
       writer.sink.complete();
@@ -112,10 +117,13 @@
       const lease = await this.leases.acquirePrimary(deadline);
       const writer = this.createWriter(unit, lease);
       try {
-        const status = await lease.connection.exchange(writer.request.bytes, writer.sink);
+        const { bytes } = writer.request;
+        const left = this.leftUntil(deadline);
+        const status = await lease.connection.exchange(bytes, writer.sink, left);
         // What the primary showed may still be lost, or it may have been replaced: ask.
         const seen = await lease.connection.ask<SessionPosition>(
           `heatherledge.confirm(${CONFIRM_MS})`,
+          CONFIRM_MS + ANSWER_MARGIN_MS,
         );
         if (status !== 'idle') lease.discard();
         else lease.release();
@@ -132,6 +140,10 @@
     throw ProxyError.create(primaryUnavailable, undefined);
   }
 
+  private leftUntil(deadline: Milliseconds): number {
+    return Math.max(1, deadline - this.context.clock.now());
+  }
+
   private createWriter(
     unit: RequestUnit,
     lease: ConnectionLease,
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -24,6 +24,10 @@
 
 /** Longest wait for a majority to hold a commit, in milliseconds. */
 const CONFIRM_MS = 2000;
+/** Time beyond a member's own wait after which its connection is taken for silent. */
+const ANSWER_MARGIN_MS = 300;
+/** Longest wait for the answer to COMMIT, in milliseconds. */
+const COMMIT_TIMEOUT_MS = 2000;
 
 /** A transaction that the caller has open. */
 interface OpenTransaction {
@@ -173,6 +177,10 @@
     return key === undefined ? undefined : { organisation, group, key };
   }
 
+  private leftUntil(deadline: Milliseconds): number {
+    return Math.max(1, deadline - this.context.clock.now());
+  }
+
   private async repeatElsewhere(deadline: Milliseconds, run: () => Promise<void>): Promise<void> {
     for (;;) {
       try {
@@ -199,7 +207,8 @@
     const writer = this.createWriter(unit, lease, true);
     let status: TransactionStatus;
     try {
-      status = await lease.connection.exchange(writer.request.bytes, writer.sink);
+      const { bytes } = writer.request;
+      status = await lease.connection.exchange(bytes, writer.sink, this.leftUntil(deadline));
     } catch (error) {
       this.dropLease(lease, error, writer.sink);
       this.settle(finishedVerdict(tracker, { kind: 'interrupted', reason: describeError(error) }));
@@ -227,7 +236,8 @@
     try {
       await lease.connection.query('BEGIN');
       await writeOutcome(lease.connection, key);
-      await lease.connection.exchange(writer.request.bytes, writer.sink);
+      const { bytes } = writer.request;
+      await lease.connection.exchange(bytes, writer.sink, this.leftUntil(deadline));
     } catch (error) {
       await this.handleUnstarted(error, lease, writer.sink);
     }
@@ -281,7 +291,10 @@
     try {
       await lease.connection.query('ROLLBACK');
       this.state.advance(
-        await lease.connection.ask<SessionPosition>(`heatherledge.confirm(${CONFIRM_MS})`),
+        await lease.connection.ask<SessionPosition>(
+          `heatherledge.confirm(${CONFIRM_MS})`,
+          CONFIRM_MS + ANSWER_MARGIN_MS,
+        ),
       );
     } catch {
       lease.discard();
@@ -300,7 +313,8 @@
     const writer = this.createWriter(unit, lease, isFirst);
     let status: TransactionStatus;
     try {
-      status = await lease.connection.exchange(writer.request.bytes, writer.sink);
+      const { bytes } = writer.request;
+      status = await lease.connection.exchange(bytes, writer.sink, this.context.deadlineMs);
     } catch (error) {
       this.dropLease(lease, error, writer.sink);
       if (isFirst && !writer.sink.hasForwarded) {
@@ -392,6 +406,7 @@
     try {
       const position = await lease.connection.ask<SessionPosition>(
         `heatherledge.confirm(${CONFIRM_MS})`,
+        CONFIRM_MS + ANSWER_MARGIN_MS,
       );
       lease.release();
       return finishedVerdict(tracker, { kind: 'confirmed', position });
@@ -472,7 +487,7 @@
   let tag = '';
   const request = { bytes: Buffer.alloc(0), hideParse: [], hideClose: [] };
   const sink = new AnswerWriter(NO_OUTPUT, request, false);
-  await lease.connection.exchange(serialize.query('COMMIT'), sink);
+  await lease.connection.exchange(serialize.query('COMMIT'), sink, COMMIT_TIMEOUT_MS);
   if (sink.failure !== undefined) throw new UpstreamFailure(sink.failure);
   tag = sink.lastTag;
   return tag;
--- a/packages/daemon/src/groups/group-directory.ts
+++ b/packages/daemon/src/groups/group-directory.ts
@@ -34,8 +34,14 @@
 export class GroupDirectory {
   private readonly groups = new Map<GroupId, KnownGroup>();
 
-  /** @param clock - the process's clock */
-  constructor(private readonly clock: Clock) {}
+  /**
+   * @param clock - the process's clock
+   * @param onReplaced - told of a member that is primary no more
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly onReplaced: (group: GroupId, member: MemberId) => void,
+  ) {}
 
   /** @returns groups in use */
   get used(): GroupId[] {
@@ -64,8 +70,12 @@
     if (view.primary === undefined && known.view?.primary !== undefined) {
       if (view.term === known.view.term) return;
     }
-    const changed = known.view?.primary !== view.primary || known.view?.term !== view.term;
+    const old = known.view;
+    const changed = old?.primary !== view.primary || old?.term !== view.term;
     known.view = view;
+    if (old?.primary !== undefined && view.primary !== undefined && old.primary !== view.primary) {
+      this.onReplaced(view.group, old.primary);
+    }
     known.doubted = undefined;
     if (changed || view.primary !== undefined) this.wake(known);
   }
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -74,7 +74,9 @@
 
   private readonly settingsTask: SettingsTask;
 
-  private readonly directory = new GroupDirectory(this.clock);
+  private readonly directory = new GroupDirectory(this.clock, (group, member) => {
+    this.pools.find(group, member)?.interrupt();
+  });
 
   private readonly groups: GroupsTask;
 
@@ -352,6 +354,7 @@
       try {
         const position = await connection.ask<SessionPosition>(
           `heatherledge.confirm(${INDEX_TIMEOUT_MS})`,
+          INDEX_DEADLINE_MS,
         );
         pool.release(connection);
         return position;
--- a/packages/daemon/src/upstreams/upstream-connection.ts
+++ b/packages/daemon/src/upstreams/upstream-connection.ts
@@ -127,36 +127,45 @@
    *
    * @param request - the messages
    * @param sink - takes the answer
+   * @param timeoutMs - longest wait; then the connection is taken for silent, and ended
    * @returns the transaction's state afterwards
    * @throws ConnectionLost if the connection ends before that
    */
-  async exchange(request: Buffer, sink: AnswerSink): Promise<TransactionStatus> {
+  async exchange(request: Buffer, sink: AnswerSink, timeoutMs: number): Promise<TransactionStatus> {
     if (this.lost !== undefined) throw this.lost;
-    return new Promise((resolve, reject) => {
-      this.exchanges.push({ sink, resolve, reject });
-      this.socket.write(request);
-    });
+    const silence = new ConnectionLost('no answer in time');
+    const timer = setTimeout(() => this.fail(silence), timeoutMs);
+    try {
+      return await new Promise((resolve, reject) => {
+        this.exchanges.push({ sink, resolve, reject });
+        this.socket.write(request);
+      });
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   /**
    * Runs a query of the proxy's own.
    *
    * @param text - SQL text
+   * @param timeoutMs - longest wait, in milliseconds
    * @returns the rows' values as text
    * @throws UpstreamFailure if the member answers with an error
    * @throws ConnectionLost if the connection ends
    */
-  async query(text: string): Promise<(string | null)[][]> {
+  async query(text: string, timeoutMs = QUERY_TIMEOUT_MS): Promise<(string | null)[][]> {
     const rows: (string | null)[][] = [];
     let failure: ErrorFields | undefined;
-    await this.exchange(serialize.query(text), {
+    const sink: AnswerSink = {
       take: (frame) => {
         if (frame.type === BackendCode.DataRow) rows.push(parseDataRow(frame.bytes));
         if (frame.type === BackendCode.ErrorMessage) failure = parseErrorResponse(frame.bytes);
         return true;
       },
       drained: async () => {},
-    });
+    };
+    await this.exchange(serialize.query(text), sink, timeoutMs);
     if (failure !== undefined) throw new UpstreamFailure(failure);
     return rows;
   }
@@ -165,10 +174,11 @@
    * Asks one of the member's control functions.
    *
    * @param call - function call such as `heatherledge.status()`
+   * @param timeoutMs - longest wait, in milliseconds
    * @returns its answer
    */
-  async ask<Answer>(call: string): Promise<Answer> {
-    const rows = await this.query(`SELECT ${call}`);
+  async ask<Answer>(call: string, timeoutMs = QUERY_TIMEOUT_MS): Promise<Answer> {
+    const rows = await this.query(`SELECT ${call}`, timeoutMs);
     return JSON.parse(rows[0]?.[0] ?? 'null') as Answer;
   }
 
@@ -196,7 +206,7 @@
     let failure: ErrorFields | undefined;
     const { user, database } = address;
     const startup = serialize.startup({ user, database, application_name: 'heatherledge' });
-    const answer = this.exchange(startup, {
+    const sink: AnswerSink = {
       take: (frame) => {
         if (frame.type === BackendCode.ErrorMessage) failure = parseErrorResponse(frame.bytes);
         if (frame.type === BackendCode.BackendKeyData) {
@@ -206,7 +216,8 @@
         return true;
       },
       drained: async () => {},
-    });
+    };
+    const answer = this.exchange(startup, sink, LOGIN_TIMEOUT_MS);
     try {
       await answer;
     } catch (error) {
@@ -247,3 +258,6 @@
 }
 
 const CANCEL_TIMEOUT_MS = 1000;
+/** Longest wait for the proxy's own short queries, in milliseconds. */
+const QUERY_TIMEOUT_MS = 1000;
+const LOGIN_TIMEOUT_MS = 5000;
--- a/packages/daemon/src/upstreams/upstream-pool.ts
+++ b/packages/daemon/src/upstreams/upstream-pool.ts
@@ -66,6 +66,9 @@
 
   private idle: UpstreamConnection[] = [];
 
+  /** All open connections, idle ones and those in use. */
+  private readonly connections = new Set<UpstreamConnection>();
+
   private open = 0;
 
   private opening = 0;
@@ -143,12 +146,18 @@
    * @param connection - the connection
    */
   discard(connection: UpstreamConnection | undefined): void {
-    if (connection === undefined) return;
+    if (connection === undefined || !this.connections.delete(connection)) return;
     connection.close();
     this.open -= 1;
     this.serve();
   }
 
+  /** Ends what runs here, because the member has been replaced as primary. */
+  interrupt(): void {
+    for (const connection of this.connections) connection.close();
+    this.closeIdle();
+  }
+
   /** Ends all idle connections, for instance after the member was replaced or the proxy stops. */
   closeIdle(): void {
     for (const connection of this.idle.splice(0)) this.discard(connection);
@@ -207,6 +216,7 @@
     try {
       const connection = await UpstreamConnection.open(this.address, this.timings.connectTimeoutMs);
       this.opening -= 1;
+      this.connections.add(connection);
       if (this.open > this.permits) this.discard(connection);
       else this.give(connection);
     } catch (error) {
--- a/packages/lab/src/workload/roaming-session.ts
+++ b/packages/lab/src/workload/roaming-session.ts
@@ -17,6 +17,8 @@
 /** What is certain of one write, by what the caller was told. */
 interface WriteRecord {
   readonly key: string;
+  /** Row that the write made, if its answer came. */
+  id?: unknown;
   outcome: 'done' | 'not-run' | 'unknown';
 }
 
@@ -86,7 +88,7 @@
     for (let index = 0; !this.stopped; index += 1) {
       const key = `s${session}-${index}`;
       position = await this.writeOnce(key, session, position);
-      position = await this.readBack(key, session, position);
+      position = await this.readBack(key, position);
       await pause(pauseMs);
     }
   }
@@ -115,6 +117,7 @@
       const answer = await this.tryWrite(key, session, seen);
       seen = answer.position;
       record.outcome = answer.outcome;
+      record.id = answer.id;
       // Only what is not known needs another try; its key makes the try harmless.
       if (answer.outcome !== 'unknown') break;
       await pause(RETRY_PAUSE_MS);
@@ -139,7 +142,7 @@
     key: string,
     session: number,
     position: string,
-  ): Promise<{ outcome: WriteRecord['outcome']; position: string }> {
+  ): Promise<{ outcome: WriteRecord['outcome']; position: string; id?: unknown }> {
     let caller: Caller;
     try {
       caller = await this.connect(position);
@@ -148,16 +151,17 @@
       return { outcome: 'not-run', position };
     }
     const comment = `/*heatherledge.idempotency_key='${key}'*/`;
-    const text = `${comment} INSERT INTO ${TABLE} (key, session) VALUES ($1, $2)`;
+    const text = `${comment} INSERT INTO ${TABLE} (key, session) VALUES ($1, $2) RETURNING id`;
     const result = await caller.run(text, [key, session]);
     const seen = caller.position;
     await caller.end();
     if (result.outcome === 'not-run') this.countRefusal(result.code ?? '', result.message);
     const isDone = result.outcome === 'done' || result.outcome === 'already-done';
-    return { outcome: isDone ? 'done' : (result.outcome as 'not-run' | 'unknown'), position: seen };
+    const outcome = isDone ? 'done' : (result.outcome as 'not-run' | 'unknown');
+    return { outcome, position: seen, id: result.rows[0]?.id };
   }
 
-  private async readBack(key: string, session: number, position: string): Promise<string> {
+  private async readBack(key: string, position: string): Promise<string> {
     const record = this.records.findLast((candidate) => candidate.key === key);
     if (record?.outcome !== 'done') return position;
     let caller: Caller;
@@ -166,15 +170,16 @@
     } catch {
       return position;
     }
-    const result = await caller.run(
-      `SELECT count(*) AS n FROM ${TABLE} WHERE key = $1 AND session = $2`,
-      [key, session],
-    );
+    // By its row where that is known: looking through all rows would load the members most.
+    const result =
+      record.id === undefined
+        ? await caller.run(`SELECT key FROM ${TABLE} WHERE key = $1`, [key])
+        : await caller.run(`SELECT key FROM ${TABLE} WHERE id = $1`, [record.id]);
     const seen = caller.position;
     await caller.end();
     if (result.outcome === 'done') {
       this.counts.readsChecked += 1;
-      if (Number(result.rows[0]?.n) < 1) this.counts.stale += 1;
+      if (result.rows[0]?.key !== key) this.counts.stale += 1;
     }
     return seen;
   }
--- a/packages/stand-ins/src/bin/stand-in-member.ts
+++ b/packages/stand-ins/src/bin/stand-in-member.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** A stand-in member as a process: `stand-in-member SETTINGS_FILE GROUP MEMBER`. */
+/** A stand-in member as a process: `stand-in-member SETTINGS_FILE GROUP MEMBER [DATA_FILE]`. */
 import { createServer } from 'node:http';
 import type { MemberFaults } from '../member/member-config.js';
 import { MemberServer } from '../member/member-server.js';
@@ -12,14 +12,14 @@
 /** Faults to switch, and whether connections that are open now go silent for good. */
 type FaultRequest = Partial<MemberFaults> & { readonly silence?: boolean };
 
-const [file = '', group = '', id = ''] = process.argv.slice(2);
+const [file = '', group = '', id = '', dataFile] = process.argv.slice(2);
 const settings = readPlannedSettings(file);
 const path = Object.keys(settings).find((name) => name.endsWith(`/groups/${group}`)) ?? '';
 const planned = createMemberConfigs((settings[path] ?? { members: [] }) as PlannedGroup);
 const config = planned.find((member) => member.id === id);
 if (config === undefined) throw new Error(`no member ${id} in group ${group}`);
 
-const server = new MemberServer(config);
+const server = new MemberServer({ ...config, dataFile });
 await server.start();
 
 const control = createServer((request, response) => {
--- a/packages/stand-ins/src/member/member-config.ts
+++ b/packages/stand-ins/src/member/member-config.ts
@@ -21,6 +21,8 @@
   readonly reservedConnections: number;
   /** Time that a new connection takes, in milliseconds. */
   readonly connectMs: number;
+  /** File in which the member keeps its log and promise; without one it forgets at its end. */
+  readonly dataFile?: string;
 }
 
 /** Faults that a test switches on. */
--- a/packages/stand-ins/src/member/member.ts
+++ b/packages/stand-ins/src/member/member.ts
@@ -7,6 +7,7 @@
   MemberStatus,
   Term,
 } from '@heatherledge/core';
+import { FileJournal } from './file-journal.js';
 import type { MemberConfig, MemberFaults } from './member-config.js';
 import { ReplicaLog } from './replica-log.js';
 import { readMonotonicMs, ReplicationLink } from './replication-link.js';
@@ -68,7 +69,11 @@
     config: MemberConfig,
     private readonly onDemoted: () => void,
   ) {
-    this.log = new ReplicaLog<Change>(config.id, config.peers.length + 1);
+    const size = config.peers.length + 1;
+    const journal = config.dataFile === undefined ? undefined : new FileJournal(config.dataFile);
+    this.log = new ReplicaLog<Change>(config.id, size, journal?.write);
+    this.log.restore(journal?.read() ?? []);
+    this.applyUpTo(this.log.position);
     this.link = new ReplicationLink(config, this.log, this.faults, {
       onReceived: (truncated) => this.handleReceived(truncated),
       onAck: () => this.wakeWaiters(),
--- a/packages/stand-ins/src/member/replica-log.ts
+++ b/packages/stand-ins/src/member/replica-log.ts
@@ -54,6 +54,19 @@
   readonly round: number;
 }
 
+/** What a member must not forget over a restart. */
+export type JournalRecord<Change> =
+  | { readonly kind: 'promise'; readonly ballot: Ballot }
+  | { readonly kind: 'term'; readonly term: Term; readonly termStarts: readonly TermStart[] }
+  | {
+      readonly kind: 'entries';
+      readonly from: number;
+      readonly entries: readonly LogEntry<Change>[];
+    };
+
+/** Keeps what a member must not forget. */
+export type Journal<Change> = (record: JournalRecord<Change>) => void;
+
 /** What the primary knows of a replica. */
 interface ReplicaProgress {
   ack: LogAck;
@@ -86,12 +99,31 @@
   /**
    * @param member - this member
    * @param groupSize - number of members in the group
+   * @param journal - keeps each change before it is told to anybody
    */
   constructor(
     private readonly member: MemberId,
     private readonly groupSize: number,
+    private readonly journal: Journal<Change> = () => {},
   ) {}
 
+  /**
+   * Takes up what was kept before a restart; the member follows nobody until it is told to.
+   *
+   * @param records - everything that was kept, oldest first
+   */
+  restore(records: Iterable<JournalRecord<Change>>): void {
+    for (const record of records) {
+      if (record.kind === 'promise') this.promise = record.ballot;
+      else if (record.kind === 'term') {
+        this.term = record.term;
+        this.termStarts = [...record.termStarts];
+      } else {
+        this.entries.splice(record.from, this.entries.length, ...record.entries);
+      }
+    }
+  }
+
   /** @returns end of the log */
   get position(): LogPosition {
     return this.entries.length as LogPosition;
@@ -155,7 +187,7 @@
     const isSame = ballot.term === this.promise.term && ballot.by === this.promise.by;
     if (isSame) return true;
     if (ballot.term <= this.promise.term) return false;
-    this.promise = ballot;
+    this.keepPromise(ballot);
     this.role = 'fenced';
     this.source = undefined;
     this.progress.clear();
@@ -174,6 +206,7 @@
     this.role = 'primary';
     this.term = ballot.term;
     this.termStarts.push({ term: ballot.term, start: this.position });
+    this.journal({ kind: 'term', term: this.term, termStarts: this.termStarts });
     return true;
   }
 
@@ -187,7 +220,7 @@
   follow(term: Term, primary: MemberId): boolean {
     if (term < this.promise.term) return false;
     if (this.isPrimary && term === this.term) return false;
-    if (term > this.promise.term) this.promise = { term, by: FOLLOWING };
+    if (term > this.promise.term) this.keepPromise({ term, by: FOLLOWING });
     this.role = 'replica';
     this.source = primary;
     this.progress.clear();
@@ -202,7 +235,7 @@
    */
   append(changes: readonly Change[]): LogPosition | undefined {
     if (!this.isPrimary) return undefined;
-    this.entries.push({ term: this.term, changes });
+    this.addFrom(this.entries.length, [{ term: this.term, changes }]);
     return this.position;
   }
 
@@ -296,17 +329,30 @@
     const overlap = this.entries.slice(batch.from);
     const isPrefix = overlap.every((entry, index) => entry.term === batch.entries[index]?.term);
     if (isPrefix && overlap.length <= batch.entries.length) {
-      this.entries.push(...batch.entries.slice(overlap.length));
+      this.addFrom(this.entries.length, batch.entries.slice(overlap.length));
       return false;
     }
     // Only a primary of a later term may cut this log; a late batch of the same term may not.
     if (batch.term === this.term) return false;
-    this.entries.splice(batch.from, this.entries.length, ...batch.entries);
+    this.addFrom(batch.from, batch.entries);
     return true;
   }
 
   private adoptTerm(batch: LogBatch<Change>): void {
+    if (this.term === batch.term) return;
     this.term = batch.term;
     this.termStarts = [...batch.termStarts];
+    this.journal({ kind: 'term', term: this.term, termStarts: this.termStarts });
+  }
+
+  private keepPromise(ballot: Ballot): void {
+    this.promise = ballot;
+    this.journal({ kind: 'promise', ballot });
+  }
+
+  private addFrom(from: number, entries: readonly LogEntry<Change>[]): void {
+    if (entries.length === 0 && from === this.entries.length) return;
+    this.entries.splice(from, this.entries.length, ...entries);
+    this.journal({ kind: 'entries', from, entries });
   }
 }
--- a/scripts/src/faults-processes.ts
+++ b/scripts/src/faults-processes.ts
@@ -1,6 +1,6 @@
 /**
  * The second layer of the fault matrix: real processes, signals and faults, one cell after another on
- * one fleet under roaming callers. `faults-processes [--json]` prints one JSON line.
+ * one fleet under roaming callers: `faults-processes [CELL ...]` prints one JSON line.
  */
 import { join } from 'node:path';
 import { RoamingWorkload } from '@heatherledge/lab';
@@ -161,7 +161,9 @@
   );
   await sleep(WARM_UP_MS / 2);
   const results: ProcessResult[] = [];
-  for (const cell of createCells()) results.push(await runCell(cell, workload));
+  const wanted = process.argv.slice(2).filter((word) => !word.startsWith('-'));
+  const cells = createCells().filter(({ id }) => wanted.length === 0 || wanted.includes(id));
+  for (const cell of cells) results.push(await runCell(cell, workload));
   workload.stop();
   await Promise.all(sessions);
   await workload.check();
--- a/scripts/src/fleet/local-fleet.ts
+++ b/scripts/src/fleet/local-fleet.ts
@@ -1,4 +1,5 @@
 /** The local fleet of examples/local-fleet as separate processes. */
+import { mkdirSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { type PlannedGroup, readPlannedSettings } from '@heatherledge/stand-ins';
 import { FleetProcess, type ProcessPlan } from './fleet-process.js';
@@ -59,8 +60,10 @@
     );
   }
 
-  /** Starts everything. */
+  /** Starts everything, with empty databases. */
   async start(): Promise<void> {
+    rmSync(this.logFolder, { recursive: true, force: true });
+    mkdirSync(this.logFolder, { recursive: true });
     await this.platform.start();
     await Promise.all(this.members.map(async (member) => member.process.start()));
     await Promise.all(this.instances.map(async (instance) => instance.process.start()));
@@ -101,7 +104,8 @@
       const group = path.split('/').at(-1) ?? '';
       return (value as PlannedGroup).members.map(({ id, port }) => {
         const script = 'packages/stand-ins/dist/bin/stand-in-member.js';
-        const process = this.create({ name: id, script, args: [SETTINGS, group, id] });
+        const dataFile = join(this.logFolder, `${id}.data`);
+        const process = this.create({ name: id, script, args: [SETTINGS, group, id, dataFile] });
         return { group, id, port, process };
       });
     });
