--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -1,7 +1,6 @@
 /** Runs writes and transactions at the primary, and tells truthfully how they ended. */
 import {
   alreadyDone,
-  type CommitEvent,
   CommitTracker,
   type CommitVerdict,
   type Milliseconds,
@@ -12,23 +11,22 @@
   transactionLost,
 } from '@heatherledge/core';
 import type { TransactionStatus } from '@heatherledge/wire';
-import { serialize } from 'pg-protocol';
 import { ConnectionLost, UpstreamFailure } from '../upstreams/upstream-connection.js';
 import { AnswerWriter, type CallerOutput, READ_ONLY_STATE } from './answer-writer.js';
 import type { CallerState } from './caller-state.js';
 import type { ConnectionLease } from './lease.js';
 import type { LeaseSource } from './lease-source.js';
-import { findOutcome, type OutcomeKey, OutcomeExists, writeOutcome } from './outcome-records.js';
+import {
+  CommitFollower,
+  CONFIRM_TIMEOUTS,
+  describeError,
+  finishedVerdict,
+  ROLLED_BACK,
+} from './commit-follower.js';
+import { type OutcomeKey, OutcomeExists, writeOutcome } from './outcome-records.js';
 import { createUpstreamRequest, type RequestUnit } from './request-unit.js';
 import type { ServingContext } from './serving-context.js';
 
-/** Longest wait for a majority to hold a commit, in milliseconds. */
-const CONFIRM_MS = 2000;
-/** Time beyond a member's own wait after which its connection is taken for silent. */
-const ANSWER_MARGIN_MS = 300;
-/** Longest wait for the answer to COMMIT, in milliseconds. */
-const COMMIT_TIMEOUT_MS = 2000;
-
 /** A transaction that the caller has open. */
 interface OpenTransaction {
   readonly beginText: string;
@@ -42,6 +40,8 @@
 
 /** Runs one session's writes and transactions. */
 export class TransactionExecutor {
+  private readonly commits: CommitFollower;
+
   private open: OpenTransaction | undefined;
 
   private failed = false;
@@ -51,7 +51,9 @@
     private readonly state: CallerState,
     private readonly leases: LeaseSource,
     private readonly output: CallerOutput,
-  ) {}
+  ) {
+    this.commits = new CommitFollower(context, leases);
+  }
 
   /** @returns whether the transaction has failed and nothing is left of it at a member */
   get isLost(): boolean {
@@ -156,7 +158,7 @@
     this.open = undefined;
     const deadline = this.leases.resolveDeadline();
     const tracker = new CommitTracker(key !== undefined);
-    const verdict = await this.followCommit(tracker, lease, key, deadline);
+    const verdict = await this.commits.commit(tracker, lease, key, deadline);
     if (verdict.kind === 'not-run' && verdict.reason === ROLLED_BACK) return 'ROLLBACK';
     this.settle(verdict);
     this.context.count('write');
@@ -210,7 +212,8 @@
       const { bytes } = writer.request;
       status = await lease.connection.exchange(bytes, writer.sink, this.leftUntil(deadline));
     } catch (error) {
-      this.dropLease(lease, error, writer.sink);
+      writer.sink.abandon();
+      this.commits.dropLease(lease, error);
       this.settle(finishedVerdict(tracker, { kind: 'interrupted', reason: describeError(error) }));
       return;
     }
@@ -246,7 +249,7 @@
       writer.sink.complete();
       return;
     }
-    const verdict = await this.followCommit(tracker, lease, key, deadline);
+    const verdict = await this.commits.commit(tracker, lease, key, deadline);
     // What surely did not run, and of which the caller has seen nothing, may run elsewhere.
     if (verdict.kind === 'not-run' && !writer.sink.hasForwarded) throw new TryElsewhere();
     this.finishVerdict(verdict, writer.sink);
@@ -292,8 +295,8 @@
       await lease.connection.query('ROLLBACK');
       this.state.advance(
         await lease.connection.ask<SessionPosition>(
-          `heatherledge.confirm(${CONFIRM_MS})`,
-          CONFIRM_MS + ANSWER_MARGIN_MS,
+          `heatherledge.confirm(${CONFIRM_TIMEOUTS.memberMs})`,
+          CONFIRM_TIMEOUTS.connectionMs,
         ),
       );
     } catch {
@@ -316,7 +319,8 @@
       const { bytes } = writer.request;
       status = await lease.connection.exchange(bytes, writer.sink, this.context.deadlineMs);
     } catch (error) {
-      this.dropLease(lease, error, writer.sink);
+      writer.sink.abandon();
+      this.commits.dropLease(lease, error);
       if (isFirst && !writer.sink.hasForwarded) {
         this.loseLease();
         throw new TryElsewhere();
@@ -362,7 +366,7 @@
       sink.complete();
       return;
     }
-    const verdict = await this.confirm(tracker, lease, key, deadline);
+    const verdict = await this.commits.confirm(tracker, lease, key, deadline);
     this.finishVerdict(verdict, sink);
   }
 
@@ -372,64 +376,6 @@
     sink.complete();
   }
 
-  private async followCommit(
-    tracker: CommitTracker,
-    lease: ConnectionLease,
-    key: OutcomeKey | undefined,
-    deadline: Milliseconds,
-  ): Promise<CommitVerdict> {
-    tracker.handle({ kind: 'commit-requested' });
-    try {
-      const tag = await sendCommit(lease);
-      if (tag !== 'COMMIT') {
-        lease.release();
-        return finishedVerdict(tracker, { kind: 'commit-refused', reason: ROLLED_BACK });
-      }
-    } catch (error) {
-      if (isCommitRefusal(error)) {
-        lease.discard();
-        const reason = describeError(error);
-        return finishedVerdict(tracker, { kind: 'commit-refused', reason });
-      }
-      return this.followInterruption(tracker, lease, key, deadline, error);
-    }
-    tracker.handle({ kind: 'commit-applied' });
-    return this.confirm(tracker, lease, key, deadline);
-  }
-
-  private async confirm(
-    tracker: CommitTracker,
-    lease: ConnectionLease,
-    key: OutcomeKey | undefined,
-    deadline: Milliseconds,
-  ): Promise<CommitVerdict> {
-    try {
-      const position = await lease.connection.ask<SessionPosition>(
-        `heatherledge.confirm(${CONFIRM_MS})`,
-        CONFIRM_MS + ANSWER_MARGIN_MS,
-      );
-      lease.release();
-      return finishedVerdict(tracker, { kind: 'confirmed', position });
-    } catch (error) {
-      return this.followInterruption(tracker, lease, key, deadline, error);
-    }
-  }
-
-  private async followInterruption(
-    tracker: CommitTracker,
-    lease: ConnectionLease,
-    key: OutcomeKey | undefined,
-    deadline: Milliseconds,
-    error: unknown,
-  ): Promise<CommitVerdict> {
-    this.dropLease(lease, error, undefined);
-    const step = tracker.handle({ kind: 'interrupted', reason: describeError(error) });
-    if (step.kind === 'finish') return step.verdict;
-    const finding = key && (await findOutcome(key, this.leases, this.context, deadline));
-    if (finding === undefined) return finishedVerdict(tracker, { kind: 'deadline' });
-    return finishedVerdict(tracker, { kind: 'looked-up', ...finding });
-  }
-
   private settle(verdict: CommitVerdict): void {
     if (verdict.kind === 'done') {
       if (verdict.position !== undefined) this.state.advance(verdict.position);
@@ -445,14 +391,6 @@
     this.failed = status === 'failed';
   }
 
-  private dropLease(lease: ConnectionLease, error: unknown, sink: AnswerWriter | undefined): void {
-    lease.discard();
-    sink?.abandon();
-    if (error instanceof ConnectionLost || error instanceof UpstreamFailure) {
-      this.leases.doubt(lease.primary);
-    }
-  }
-
   private wasRefusedAsReadOnly(sink: AnswerWriter, lease: ConnectionLease): boolean {
     if (sink.failure?.code !== READ_ONLY_STATE || sink.hasForwarded) return false;
     lease.discard();
@@ -479,39 +417,3 @@
     return { request, sink: new AnswerWriter(this.output, request, hidesReadOnly) };
   }
 }
-
-/** Reason of a commit that the member answered with ROLLBACK, because a statement had failed. */
-const ROLLED_BACK = 'a statement of the transaction had failed';
-
-async function sendCommit(lease: ConnectionLease): Promise<string> {
-  let tag = '';
-  const request = { bytes: Buffer.alloc(0), hideParse: [], hideClose: [] };
-  const sink = new AnswerWriter(NO_OUTPUT, request, false);
-  await lease.connection.exchange(serialize.query('COMMIT'), sink, COMMIT_TIMEOUT_MS);
-  if (sink.failure !== undefined) throw new UpstreamFailure(sink.failure);
-  tag = sink.lastTag;
-  return tag;
-}
-
-/** Output of answers that only the proxy reads. */
-const NO_OUTPUT: CallerOutput = {
-  write: () => true,
-  drained: async () => {},
-};
-
-/** Errors with which a member answers COMMIT after having rolled back. */
-function isCommitRefusal(error: unknown): boolean {
-  if (!(error instanceof UpstreamFailure)) return false;
-  const { code } = error.fields;
-  return code.startsWith('23') || code.startsWith('40') || code === READ_ONLY_STATE;
-}
-
-function finishedVerdict(tracker: CommitTracker, event: CommitEvent): CommitVerdict {
-  const step = tracker.handle(event);
-  if (step.kind === 'finish') return step.verdict;
-  return { kind: 'unknown', reason: 'no answer in time' };
-}
-
-function describeError(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
-}
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -158,11 +158,12 @@
     this.logger.info({ event: 'ready', callers, admin, peers: { port: peers.port } }, 'ready');
   }
 
-  /** Without slots nothing can be admitted, but borrowed tokens may do while none are free. */
+  /** Waits for slots and fresh settings, but serves what it can if they cannot be had soon. */
   private async waitUntilReady(): Promise<void> {
     while (!this.settingsTask.isKnown && !this.stopping) await delay(READY_STEP_MS);
     const patience = this.clock.now() + SLOT_PATIENCE_MS;
-    while (this.slots.owned.length === 0 && this.clock.now() < patience && !this.stopping) {
+    const isComplete = (): boolean => this.slots.owned.length > 0 && this.settingsTask.allowsKeys;
+    while (!isComplete() && this.clock.now() < patience && !this.stopping) {
       await delay(READY_STEP_MS);
     }
   }
--- a/packages/lab/src/faults/fake-network.ts
+++ b/packages/lab/src/faults/fake-network.ts
@@ -165,6 +165,22 @@
     this.cuts.set(from, targets);
   }
 
+  /**
+   * Cuts a failure domain off from everything else, both ways.
+   *
+   * @param domain - the failure domain
+   * @param spared - domain that still reaches it, if any
+   */
+  isolate(domain: string, spared?: string): void {
+    for (const from of this.names) {
+      for (const to of this.names) {
+        const [left, right] = [this.domainOf(from), this.domainOf(to)];
+        const crosses = left !== right && (left === domain || right === domain);
+        if (crosses && left !== spared && right !== spared) this.cut(from, to);
+      }
+    }
+  }
+
   /** Ends all cuts and slow links. */
   heal(): void {
     this.cuts.clear();
--- a/packages/lab/src/faults/group/group-world.ts
+++ b/packages/lab/src/faults/group/group-world.ts
@@ -120,13 +120,7 @@
 
   /** Cuts a failure domain off from the others, both ways; callers still reach it. */
   isolate(domain: string): void {
-    for (const from of this.network.names) {
-      for (const to of this.network.names) {
-        const [left, right] = [this.network.domainOf(from), this.network.domainOf(to)];
-        const crosses = left !== right && (left === domain || right === domain);
-        if (crosses && left !== 'client' && right !== 'client') this.network.cut(from, to);
-      }
-    }
+    this.network.isolate(domain, 'client');
   }
 
   /** @returns every broken promise of the run so far */
--- a/packages/lab/src/faults/settings/settings-cells.ts
+++ b/packages/lab/src/faults/settings/settings-cells.ts
@@ -293,14 +293,8 @@
   }
 
   private isolate(domain: string): void {
-    const { network, queue } = this.world;
-    for (const from of network.names) {
-      for (const to of network.names) {
-        const [left, right] = [network.domainOf(from), network.domainOf(to)];
-        if (left !== right && (left === domain || right === domain)) network.cut(from, to);
-      }
-    }
-    queue.schedule(FAULT_MS, () => network.heal());
+    this.world.network.isolate(domain);
+    this.world.queue.schedule(FAULT_MS, () => this.world.network.heal());
   }
 
   private cutPlatform(domain: string): void {
--- a/packages/lab/src/faults/shares/shares-cells.ts
+++ b/packages/lab/src/faults/shares/shares-cells.ts
@@ -301,7 +301,7 @@
         end(() => network.resume(to));
         break;
       case 'isolate-sender-domain':
-        this.isolate(network.domainOf(from));
+        network.isolate(network.domainOf(from));
         end(() => network.heal());
         break;
       case 'cut-one-way':
@@ -345,13 +345,4 @@
       instance.start();
     });
   }
-
-  private isolate(domain: string): void {
-    for (const from of this.network.names) {
-      for (const to of this.network.names) {
-        const [left, right] = [this.network.domainOf(from), this.network.domainOf(to)];
-        if (left !== right && (left === domain || right === domain)) this.network.cut(from, to);
-      }
-    }
-  }
 }
--- a/packages/lab/src/shares/limits-experiment.ts
+++ b/packages/lab/src/shares/limits-experiment.ts
@@ -181,15 +181,7 @@
   }
 
   private scheduleCut(): void {
-    this.queue.schedule(CUT_FROM_MS, () => {
-      for (const from of this.network.names) {
-        for (const to of this.network.names) {
-          const crosses = this.network.domainOf(from) !== this.network.domainOf(to);
-          const touches = [from, to].some((name) => this.network.domainOf(name) === CUT_DOMAIN);
-          if (crosses && touches) this.network.cut(from, to);
-        }
-      }
-    });
+    this.queue.schedule(CUT_FROM_MS, () => this.network.isolate(CUT_DOMAIN));
     this.queue.schedule(CUT_FROM_MS + CUT_MS, () => this.network.heal());
   }
 
--- a/scripts/src/faults-processes.ts
+++ b/scripts/src/faults-processes.ts
@@ -6,6 +6,7 @@
 import { RoamingWorkload } from '@heatherledge/lab';
 import { Balancer } from './fleet/balancer.js';
 import { callAdmin, LocalFleet, setMemberFaults, setPlatformFaults } from './fleet/local-fleet.js';
+import { sleep } from './fleet/sleep.js';
 import type { FleetProcess } from './fleet/fleet-process.js';
 
 /** A fault, and what ends it. */
@@ -33,12 +34,6 @@
 
 const fleet = new LocalFleet(join('results', 'faults-processes'));
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 async function nothing(): Promise<void> {}
 
 /** A cell that strikes the process that is chosen when it begins. */
--- a/scripts/src/fleet-smoke.ts
+++ b/scripts/src/fleet-smoke.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import { Caller, type CallerTarget, computeLongestGap, RoamingWorkload } from '@heatherledge/lab';
 import { callAdmin, LocalFleet, type InstanceProcess } from './fleet/local-fleet.js';
+import { sleep } from './fleet/sleep.js';
 
 const SESSIONS = 12;
 const PAUSE_MS = 15;
@@ -31,12 +32,6 @@
   return createTarget(list[turn % list.length] as InstanceProcess, 'example-key-a');
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Time from a withdrawal until a connected caller is refused, in milliseconds. */
 async function measureWithdrawal(): Promise<number> {
   const [first, , , fourth] = fleet.instances as [
--- a/scripts/src/measure-capacity.ts
+++ b/scripts/src/measure-capacity.ts
@@ -7,6 +7,7 @@
 import { Caller, type CallerTarget, fitLine, measureControlCosts } from '@heatherledge/lab';
 import { readFigures, type InstanceFigures } from './fleet/instance-figures.js';
 import { type InstanceProcess, LocalFleet } from './fleet/local-fleet.js';
+import { sleep } from './fleet/sleep.js';
 
 const TABLE_FILE = 'docs/capacity.json';
 const IDLE_STEPS = [500, 2000, 3500, 5000];
@@ -24,12 +25,6 @@
 
 const fleet = new LocalFleet(join('results', 'measure-capacity'));
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 function createTarget(instance: InstanceProcess): CallerTarget {
   return {
     host: '127.0.0.1',
--- a/scripts/src/measure-drain.ts
+++ b/scripts/src/measure-drain.ts
@@ -3,18 +3,13 @@
 import { RoamingWorkload } from '@heatherledge/lab';
 import { Balancer } from './fleet/balancer.js';
 import { LocalFleet } from './fleet/local-fleet.js';
+import { sleep } from './fleet/sleep.js';
 
 const SESSIONS = 12;
 const PAUSE_MS = 15;
 const WARM_UP_MS = 4000;
 const BETWEEN_MS = 500;
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 const fleet = new LocalFleet(join('results', 'measure-drain'));
 
 async function run(): Promise<object> {
