--- a/packages/core/src/failover/opinion-book.ts
+++ b/packages/core/src/failover/opinion-book.ts
@@ -1,6 +1,6 @@
 /** What a group's other watchers think of its primary. */
 import type { InstanceId, Milliseconds } from '../types/ids.js';
-import type { WatcherIdentity, WatcherOpinion } from './group-watcher.js';
+import type { WatcherIdentity, WatcherOpinion } from './watcher-types.js';
 
 interface HeardOpinion {
   readonly opinion: WatcherOpinion;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './failover/group-view.js';
 export * from './failover/group-watcher.js';
 export * from './failover/member-port.js';
+export * from './failover/watcher-types.js';
 export * from './fairness/fair-queue.js';
 export * from './idempotency/commit-tracker.js';
 export * from './keys/freshness-guard.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export * from './sql/commenter.js';
 export * from './peers/peer-messages.js';
 export * from './runtime/metrics.js';
+export * from './settings/writer-role.js';
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -14,20 +14,18 @@
   parseSettingsPath,
   PositionCodec,
   type SettingsIndex,
-  type SessionPosition,
   toBrand,
   toMilliseconds,
   type WatcherTimings,
 } from '@heatherledge/core';
 import type { Logger } from 'pino';
-import { xoroshiro128plus, unsafeUniformIntDistribution } from 'pure-rand';
 import { AdminApi, type AdminPort } from './admin/admin-api.js';
 import { AdminServer } from './admin/admin-server.js';
 import { CallerListener } from './callers/caller-listener.js';
 import type { ServingContext } from './callers/serving-context.js';
 import { GroupDirectory } from './groups/group-directory.js';
 import { GroupsTask } from './groups/groups-task.js';
-import { PrimaryPosition } from './groups/primary-position.js';
+import { PositionBook } from './groups/position-book.js';
 import { LimitsTask, type SlotKnowledge } from './limits/limits-task.js';
 import { SlotsTask } from './limits/slots-task.js';
 import { MembershipTask } from './peers/membership-task.js';
@@ -35,6 +33,7 @@
 import { EtcdPlatform } from './platform/etcd-platform.js';
 import type { ProcessSettings } from './process-settings/schema.js';
 import { Metrics } from './runtime/metrics.js';
+import { createRandom } from './runtime/random.js';
 import { delay, SystemClock } from './runtime/system-clock.js';
 import { SettingsStore } from './settings/settings-store.js';
 import { SettingsTask } from './settings/settings-task.js';
@@ -43,16 +42,11 @@
 
 const CLASSIFIER_CACHE_SIZE = 5000;
 const LIST_EVERY_MS = 10_000;
-const INDEX_TIMEOUT_MS = 1000;
-const INDEX_DEADLINE_MS = 1500;
 const READY_STEP_MS = 20;
 /** Longest wait for slots before callers are served with what can be borrowed. */
 const SLOT_PATIENCE_MS = 4000;
 /** Time for loans made by this instance to lapse before its slots are given up. */
 const LOAN_LAPSE_MS = 1100;
-const RANDOM_RANGE = 0x7fffffff;
-/** Organisation in whose name the instance itself asks members. */
-const OWN_ORGANISATION = 'heatherledge';
 
 /** One running instance. */
 export class ProxyInstance implements AdminPort {
@@ -86,7 +80,7 @@
 
   private readonly pools: PoolsTask;
 
-  private readonly positions = new Map<GroupId, PrimaryPosition>();
+  private readonly positions: PositionBook;
 
   private readonly callers: CallerListener;
 
@@ -131,6 +125,7 @@
       this.random,
       () => this.spread(),
     );
+    this.positions = new PositionBook(this.clock, this.directory, this.pools);
     this.callers = this.createCallers();
     const api = new AdminApi(this);
     this.admin = new AdminServer(async (request) => api.handle(request));
@@ -326,49 +321,13 @@
         this.groups.use(group);
         this.pools.use(group);
       },
-      positionOf: (group) => this.resolvePosition(group),
+      positionOf: (group) => this.positions.find(group),
       count: (event) => this.metrics.served.inc({ event }),
       countError: (error) => this.metrics.errors.inc({ error }),
       observeRequest: (ms) => this.metrics.requestSeconds.observe(ms / 1000),
     };
   }
 
-  private resolvePosition(group: GroupId): PrimaryPosition {
-    let position = this.positions.get(group);
-    if (position === undefined) {
-      position = new PrimaryPosition(group, this.clock, async () => this.askPosition(group));
-      this.positions.set(group, position);
-    }
-    return position;
-  }
-
-  private async askPosition(group: GroupId): Promise<SessionPosition | undefined> {
-    const primary = await this.directory.waitForPrimary(group, INDEX_DEADLINE_MS);
-    const pool = primary && this.pools.find(group, primary.member);
-    if (pool === undefined) return undefined;
-    try {
-      const connection = await pool.acquire({
-        organisation: toBrand(OWN_ORGANISATION),
-        weight: 1,
-        deadline: toMilliseconds(this.clock.now() + INDEX_DEADLINE_MS),
-      });
-      try {
-        const position = await connection.ask<SessionPosition>(
-          `heatherledge.confirm(${INDEX_TIMEOUT_MS})`,
-          INDEX_DEADLINE_MS,
-        );
-        pool.release(connection);
-        return position;
-      } catch (error) {
-        pool.discard(connection);
-        throw error;
-      }
-    } catch {
-      if (primary !== undefined) this.directory.doubtPrimary(group, primary);
-      return undefined;
-    }
-  }
-
   /** Tells the tasks of changes among the instances. */
   private spreadLive(): void {
     const { live } = this.membership.membership;
@@ -465,8 +424,3 @@
     state: 'alive',
   };
 }
-
-function createRandom(): () => number {
-  const generator = xoroshiro128plus(Number(process.hrtime.bigint() % BigInt(RANDOM_RANGE)));
-  return () => unsafeUniformIntDistribution(0, RANDOM_RANGE - 1, generator) / RANDOM_RANGE;
-}
--- a/packages/daemon/src/settings/settings-task.ts
+++ b/packages/daemon/src/settings/settings-task.ts
@@ -26,6 +26,7 @@
   type SettingsStore,
   WRITERS_PATH,
 } from './settings-store.js';
+import { chooseWriters, readWriters, WriterRole } from './writer-role.js';
 
 /** Instances that one relay serves. */
 const INSTANCES_PER_RELAY = 12;
@@ -69,14 +70,7 @@
 
   private watching: AbortController | undefined;
 
-  private lastWriteAt: Milliseconds | undefined;
-
-  private writesUnderway = 0;
-
-  /** Revisions on which writes of unknown outcome were built. */
-  private unresolvedBases: number[] = [];
-
-  private readonly startedAt: Milliseconds;
+  private readonly writer: WriterRole;
 
   constructor(
     private readonly self: InstanceRecord,
@@ -87,7 +81,7 @@
     private readonly listener: SettingsListener,
   ) {
     this.guard = new FreshnessGuard(rules.limitMs, rules.policy);
-    this.startedAt = clock.now();
+    this.writer = new WriterRole(self.id, store, clock);
     hub.handle('settings.pull', ({ revision }, from) => this.answerPull(revision, from));
     hub.handle('settings.news', ({ revision }) => {
       if (revision > this.current.revision) void this.pullOnce();
@@ -169,22 +163,11 @@
   }
 
   private async write(request: ChangeRequest): Promise<ChangeOutcome> {
-    this.lastWriteAt = this.clock.now();
-    this.writesUnderway += 1;
-    const outcome = await this.store.change(request, (state) => this.mayWrite(state));
-    this.writesUnderway -= 1;
-    if (outcome.kind === 'unknown') this.unresolvedBases.push(outcome.base);
-    this.lastWriteAt = this.clock.now();
+    const outcome = await this.writer.write(request);
     if (outcome.kind === 'accepted') await this.loadIfNewer();
     return outcome;
   }
 
-  private mayWrite(state: SettingsState): boolean {
-    const entry = state.entries.find(({ path }) => path === WRITERS_PATH);
-    const writers = readWriters(entry?.value);
-    return writers.size === 0 || writers.has(this.self.id);
-  }
-
   private async askWriter(writer: InstanceId, request: ChangeRequest): Promise<ChangeOutcome> {
     const { changeId, author, expectedRevision } = request;
     const changes = [...request.changes];
@@ -215,13 +198,8 @@
   }
 
   private attest(): PeerBodyOf<'writer.attested'> {
-    const quietSince = this.lastWriteAt ?? this.startedAt;
     const { revision } = this.current;
-    // A write of unknown outcome can no longer take effect once the settings have moved on.
-    this.unresolvedBases = this.unresolvedBases.filter((base) => base >= revision);
-    const isQuiet = this.writesUnderway === 0 && this.unresolvedBases.length === 0;
-    const quietForMs = isQuiet ? this.clock.now() - quietSince : 0;
-    return { kind: 'writer.attested', quietForMs, revision };
+    return { kind: 'writer.attested', quietForMs: this.writer.resolveQuietMs(revision), revision };
   }
 
   private get relays(): InstanceId[] {
@@ -404,7 +382,7 @@
   private async runWriters(): Promise<void> {
     while (!this.stopper.signal.aborted) {
       await delay(WRITERS_CHECK_MS);
-      const wanted = this.chooseWriters();
+      const wanted = chooseWriters(this.live, this.writers);
       const { writers } = this;
       const isResponsible = writers.size === 0 ? this.isRelay : writers.has(this.self.id);
       const isSame = wanted.length === writers.size && wanted.every((id) => writers.has(id));
@@ -419,21 +397,4 @@
       }
     }
   }
-
-  private chooseWriters(): InstanceId[] {
-    const { writers } = this;
-    const byDomain = new Map<string, InstanceId[]>();
-    for (const { id, failureDomain } of this.live) {
-      byDomain.set(failureDomain, [...(byDomain.get(failureDomain) ?? []), id]);
-    }
-    return [...byDomain].flatMap(([domain, ids]) => {
-      const present = ids.filter((id) => writers.has(id));
-      return present.length > 0 ? present.slice(0, 1) : chooseHolders(`relay/${domain}`, ids, 1);
-    });
-  }
-}
-
-function readWriters(value: unknown): ReadonlySet<InstanceId> {
-  const instances = (value as { instances?: string[] } | undefined)?.instances ?? [];
-  return new Set(instances.map((id) => toBrand<InstanceId>(id)));
 }
--- a/packages/lab/src/faults/settings/settings-world.ts
+++ b/packages/lab/src/faults/settings/settings-world.ts
@@ -19,7 +19,9 @@
   type PlatformRange,
   PlatformSilent,
   type PlatformWrite,
+  readWriters,
   SettingsStore,
+  WriterRole,
   WRITERS_PATH,
 } from '@heatherledge/daemon';
 import { KeyValueStore } from '@heatherledge/stand-ins';
@@ -128,11 +130,7 @@
 
   private readonly store: SettingsStore;
 
-  private lastWriteAt = 0;
-
-  private underway = 0;
-
-  private unresolved: number[] = [];
+  private writer!: WriterRole;
 
   private life = 0;
 
@@ -153,9 +151,8 @@
       toMilliseconds(STALE_LIMIT_MS),
       this.world.without.has('freshness') ? 'serve' : 'refuse',
     );
-    this.lastWriteAt = this.now;
-    this.underway = 0;
-    this.unresolved = [];
+    const clock = this.world.clockOf(this.number);
+    this.writer = new WriterRole(toBrand<InstanceId>(this.name), this.store, clock);
     this.highest = 0;
     this.tick(this.life);
   }
@@ -173,18 +170,8 @@
     value: unknown,
     expectedRevision?: number,
   ): Promise<ChangeOutcome> {
-    this.lastWriteAt = this.now;
-    this.underway += 1;
     const changes = [{ path, value }];
-    const request = { changeId, author: this.name, changes, expectedRevision };
-    const outcome = await this.store.change(request, (state) => {
-      const entry = state.entries.find((item) => item.path === WRITERS_PATH);
-      return readWriters(entry?.value).includes(this.name);
-    });
-    this.underway -= 1;
-    if (outcome.kind === 'unknown') this.unresolved.push(outcome.base);
-    this.lastWriteAt = this.now;
-    return outcome;
+    return this.writer.write({ changeId, author: this.name, changes, expectedRevision });
   }
 
   /** Answers another instance's pull. */
@@ -202,9 +189,7 @@
   /** Answers a question for an attestation. */
   attest(): { quietForMs: number; revision: number } {
     const { revision } = this.replica.current;
-    this.unresolved = this.unresolved.filter((base) => base >= revision);
-    const isQuiet = this.underway === 0 && this.unresolved.length === 0;
-    return { quietForMs: isQuiet ? this.now - this.lastWriteAt : 0, revision };
+    return { quietForMs: this.writer.resolveQuietMs(revision), revision };
   }
 
   private get now(): number {
@@ -266,7 +251,7 @@
   }
 
   private get writers(): string[] {
-    return readWriters(this.replica.current.values.get(WRITERS_PATH));
+    return [...readWriters(this.replica.current.values.get(WRITERS_PATH))];
   }
 
   private take(revision: SettingsRevision, entries: readonly (readonly [string, unknown])[]): void {
@@ -350,7 +335,3 @@
     );
   }
 }
-
-function readWriters(value: unknown): string[] {
-  return [...((value as { instances?: string[] } | undefined)?.instances ?? [])];
-}
