Explain a request, and survive a certificate that cannot be read

Cause: on-call engineers could not ask where a request would go; a bad certificate at SIGHUP would have ended the daemon with all its callers. Change: POST /v1/explain and heatherledge explain tell statements, group, members in order and the refusal, from the code that serves; a reload that fails is logged and the old certificate stays. Ruled out: nothing.

--- a/packages/cli/src/bin/heatherledge.ts
+++ b/packages/cli/src/bin/heatherledge.ts
@@ -125,6 +125,20 @@
       checkFile(createContext(args), args.file);
     },
   )
+  .command(
+    'explain <organisation> <database> <sql>',
+    'print which route, member and refusal a request would get',
+    (y) =>
+      y
+        .positional('organisation', { type: 'string', demandOption: true })
+        .positional('database', { type: 'string', demandOption: true })
+        .positional('sql', { type: 'string', demandOption: true }),
+    async (args) => {
+      const { printExplanation } = await import('../cli/explain/explain-command.js');
+      const { organisation, database, sql: text } = args;
+      await printExplanation(createContext(args), { organisation, database, text });
+    },
+  )
   .command('status', 'print the fleet and each group', {}, async (args) => {
     const { printStatus } = await import('../cli/status/status-command.js');
     await printStatus(createContext(args as unknown as CommonArguments));
--- a/packages/daemon/src/admin/admin-api.ts
+++ b/packages/daemon/src/admin/admin-api.ts
@@ -3,12 +3,15 @@
 import {
   createKeyDigest,
   type CredentialSettings,
+  type OrganisationId,
   type PathChange,
   type SettingsIndex,
+  toBrand,
 } from '@heatherledge/core';
 import { z } from 'zod';
 import type { ChangeOutcome, ChangeRequest, AuditRecord } from '../settings/settings-store.js';
 import type { AdminAnswer, AdminRequest } from './admin-server.js';
+import type { Explanation, ExplainRequest } from './explain.js';
 import { OPENAPI_PAGE } from './openapi.js';
 
 /** What the API needs of the instance. */
@@ -19,6 +22,7 @@
   history(): Promise<readonly AuditRecord[]>;
   state(): unknown;
   status(): unknown;
+  explain(request: ExplainRequest): Explanation;
   metricsText(): Promise<string>;
 }
 
@@ -33,6 +37,12 @@
 
 const issueSchema = z.strictObject({ path: z.string().min(1), organisation: z.string().min(1) });
 
+const explainSchema = z.strictObject({
+  organisation: z.string().min(1),
+  database: z.string().min(1),
+  text: z.string().min(1),
+});
+
 /** HTTP status for what became of a change. */
 const OUTCOME_STATUS: Record<ChangeOutcome['kind'], number> = {
   accepted: 200,
@@ -70,6 +80,8 @@
         return this.changeSettings(request, operator);
       case 'POST /v1/keys':
         return this.issueKey(request, operator);
+      case 'POST /v1/explain':
+        return this.explain(request);
       case 'GET /v1/history':
         return this.readHistory(operator);
       case 'GET /v1/state':
@@ -137,6 +149,13 @@
     return { status: 200, body: { ...(answer.body as object), path, key } };
   }
 
+  private explain(request: AdminRequest): AdminAnswer {
+    const parsed = explainSchema.safeParse(request.body);
+    if (!parsed.success) return createIssues(parsed.error);
+    const organisation = toBrand<OrganisationId>(parsed.data.organisation);
+    return { status: 200, body: this.port.explain({ ...parsed.data, organisation }) };
+  }
+
   private async apply(request: ChangeRequest, operator: Operator): Promise<AdminAnswer> {
     const foreign = request.changes.filter(({ path }) => !mayTouch(operator, path));
     if (foreign.length > 0) return createForeignError(foreign, operator);
--- /dev/null
+++ b/packages/daemon/src/admin/explain.ts
@@ -0,0 +1,69 @@
+/** Tells which route, member and refusal a request would get, without running it. */
+import {
+  chooseReadRoutes,
+  type OrganisationId,
+  ProxyError,
+  databaseForbidden,
+  databaseUnknown,
+  featureRefused,
+  primaryUnavailable,
+  type ReadRoute,
+} from '@heatherledge/core';
+import { CallerState } from '../callers/caller-state.js';
+import { LeaseSource } from '../callers/lease-source.js';
+import type { ServingContext } from '../callers/serving-context.js';
+
+/** A request that is asked about. */
+export interface ExplainRequest {
+  readonly organisation: OrganisationId;
+  readonly database: string;
+  readonly text: string;
+}
+
+/** What would become of it. */
+export interface Explanation {
+  readonly group?: string;
+  /** What each statement does. */
+  readonly statements: readonly string[];
+  /** Where it would go, best first; one entry for what must go to the primary. */
+  readonly members: readonly ReadRoute[];
+  /** Name and message of the refusal, if it would be refused. */
+  readonly refusal?: { readonly name: string; readonly message: string };
+}
+
+/**
+ * @param request - the request
+ * @param context - what the instance serves with
+ * @returns what would become of it at this instance now
+ */
+export function explainRequest(request: ExplainRequest, context: ServingContext): Explanation {
+  const { organisation, database, text } = request;
+  const classes = context.classifier.classify(text);
+  const statements = classes.map(({ kind }) => kind);
+  const route = context.settings().routes.get(database);
+  if (route === undefined)
+    return refuse(statements, ProxyError.create(databaseUnknown, { database }));
+  const isAllowed =
+    route.open || route.organisations.size === 0 || route.organisations.has(organisation);
+  if (!isAllowed) return refuse(statements, ProxyError.create(databaseForbidden, { database }));
+  const refused = classes.find((item) => item.kind === 'refused');
+  if (refused?.kind === 'refused') {
+    return refuse(statements, ProxyError.create(featureRefused, { reason: refused.feature }));
+  }
+  context.useGroup(route.group);
+  const state = new CallerState(organisation, route.group, undefined);
+  const candidates = new LeaseSource(context, state).listCandidates();
+  const isRead = classes.every(({ kind }) => kind === 'read');
+  const routes = chooseReadRoutes(candidates, undefined, context.weights);
+  const members = isRead ? routes : routes.filter(({ isPrimary }) => isPrimary);
+  const explanation = { group: route.group, statements, members };
+  if (members.length > 0) return explanation;
+  return {
+    ...explanation,
+    ...refuse(statements, ProxyError.create(primaryUnavailable, undefined)),
+  };
+}
+
+function refuse(statements: readonly string[], error: ProxyError): Explanation {
+  return { statements, members: [], refusal: { name: error.entry.name, message: error.message } };
+}
--- a/packages/daemon/src/admin/openapi.ts
+++ b/packages/daemon/src/admin/openapi.ts
@@ -31,6 +31,16 @@
   properties: { path: { type: 'string' }, organisation: { type: 'string' } },
 };
 
+const explain = {
+  type: 'object',
+  required: ['organisation', 'database', 'text'],
+  properties: {
+    organisation: { type: 'string' },
+    database: { type: 'string' },
+    text: { type: 'string', description: 'SQL text.' },
+  },
+};
+
 function createAnswers(...entries: readonly (readonly [number, string])[]): object {
   return Object.fromEntries(entries.map(([status, description]) => [status, { description }]));
 }
@@ -75,6 +85,13 @@
         responses: CHANGE_ANSWERS,
       },
     },
+    '/v1/explain': {
+      post: {
+        summary: 'Which route, member and refusal a request would get, without running it.',
+        requestBody: createBody(explain),
+        responses: createAnswers([200, 'Explanation.'], [400, 'The request is malformed.']),
+      },
+    },
     '/v1/history': {
       get: {
         summary: 'Accepted changes, oldest first.',
--- a/packages/daemon/src/bin/heatherledged.ts
+++ b/packages/daemon/src/bin/heatherledged.ts
@@ -2,7 +2,7 @@
 /** The daemon: `heatherledged --settings FILE [--check]`. */
 import { formatFinding } from '@heatherledge/core';
 import { parseArgs } from 'node:util';
-import { pino } from 'pino';
+import { type Logger, pino } from 'pino';
 import { ProxyInstance } from '../instance.js';
 import { loadProcessSettings } from '../process-settings/load.js';
 import type { ProcessSettings } from '../process-settings/schema.js';
@@ -22,6 +22,16 @@
   process.stdout.write('usage: heatherledged --settings FILE [--check]\n');
 }
 
+/** A certificate that cannot be read must not end a process that serves with the old one. */
+function reload(instance: ProxyInstance, logger: Logger): void {
+  try {
+    instance.reloadCertificates();
+    logger.info({ event: 'certificates-reloaded' }, 'certificates reloaded');
+  } catch (error) {
+    logger.error({ event: 'reload-failed', reason: (error as Error).message }, 'reload failed');
+  }
+}
+
 async function run(settings: ProcessSettings): Promise<void> {
   const logger = pino({
     level: settings.logs.level,
@@ -33,7 +43,7 @@
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
-  process.on('SIGHUP', () => instance.reloadCertificates());
+  process.on('SIGHUP', () => reload(instance, logger));
   try {
     await instance.start();
   } catch (error) {
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -1,7 +1,7 @@
 /** Composes one instance out of its tasks. */
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
-import { createSecureContext, type SecureContext } from 'node:tls';
+import { createSecureContext } from 'node:tls';
 import {
   DEFAULT_CLAIM_TIMINGS,
   DEFAULT_MEMBERSHIP_TIMINGS,
@@ -21,6 +21,7 @@
 import type { Logger } from 'pino';
 import { AdminApi, type AdminPort } from './admin/admin-api.js';
 import { AdminServer } from './admin/admin-server.js';
+import { type Explanation, explainRequest, type ExplainRequest } from './admin/explain.js';
 import { CallerListener } from './callers/caller-listener.js';
 import type { ServingContext } from './callers/serving-context.js';
 import { GroupDirectory } from './groups/group-directory.js';
@@ -82,6 +83,8 @@
 
   private readonly positions: PositionBook;
 
+  private readonly context: ServingContext;
+
   private readonly callers: CallerListener;
 
   private readonly admin: AdminServer;
@@ -126,6 +129,7 @@
       () => this.spread(),
     );
     this.positions = new PositionBook(this.clock, this.directory, this.pools);
+    this.context = this.createContext();
     this.callers = this.createCallers();
     const api = new AdminApi(this);
     this.admin = new AdminServer(async (request) => api.handle(request));
@@ -197,12 +201,12 @@
   /** Reads the callers' certificate again. */
   reloadCertificates(): void {
     const { tls } = this.config.callers;
-    const context: SecureContext | undefined = tls && {
-      ...createSecureContext({
+    const context =
+      tls &&
+      createSecureContext({
         cert: readFileSync(tls.certificateFile),
         key: readFileSync(tls.keyFile),
-      }),
-    };
+      });
     this.callers.setSecureContext(context);
   }
 
@@ -255,6 +259,10 @@
     };
   }
 
+  explain(request: ExplainRequest): Explanation {
+    return explainRequest(request, this.context);
+  }
+
   status(): unknown {
     return {
       revision: this.settings().revision,
@@ -301,7 +309,7 @@
       startupTimeoutMs: callers.startupTimeoutMs,
       allowsClearKeys: callers.allowClearKeys,
     };
-    return new CallerListener(this.createContext(), rules, this.self.id);
+    return new CallerListener(this.context, rules, this.self.id);
   }
 
   private createContext(): ServingContext {
--- a/packages/daemon/test/serving/serving.test.ts
+++ b/packages/daemon/test/serving/serving.test.ts
@@ -292,6 +292,21 @@
     expect(answers.map(({ status }) => status).sort()).toEqual([200, 409]);
   });
 
+  it('explains what would become of a request', async () => {
+    const ask = async (database: string, text: string): Promise<Record<string, unknown>> => {
+      const body = { organisation: 'one', database, text };
+      return (await (await fleet.callAdmin(0, '/v1/explain', body)).json()) as Record<
+        string,
+        unknown
+      >;
+    };
+    expect(await ask('shop', 'SELECT 1')).toMatchObject({ group: 'shop-1', statements: ['read'] });
+    expect(await ask('closed', 'SELECT 1')).toMatchObject({
+      refusal: { name: 'DatabaseForbidden' },
+    });
+    expect(await ask('shop', 'LISTEN a')).toMatchObject({ refusal: { name: 'FeatureRefused' } });
+  });
+
   it('shows state without keys', async () => {
     const text = await (await fleet.callAdmin(0, '/v1/state')).text();
     expect(text).toContain('"ready":true');
