Mend a brace that the linter refused

Cause: the formatter broke a line after the linter had run; the check in a clean clone ended with lint failed. Ruled out: a rule too many; the linter and the formatter agree on braces.

--- a/packages/daemon/src/admin/explain.ts
+++ b/packages/daemon/src/admin/explain.ts
@@ -41,8 +41,9 @@
   const classes = context.classifier.classify(text);
   const statements = classes.map(({ kind }) => kind);
   const route = context.settings().routes.get(database);
-  if (route === undefined)
+  if (route === undefined) {
     return refuse(statements, ProxyError.create(databaseUnknown, { database }));
+  }
   const isAllowed =
     route.open || route.organisations.size === 0 || route.organisations.has(organisation);
   if (!isAllowed) return refuse(statements, ProxyError.create(databaseForbidden, { database }));
