Tell limits of usable slots before callers are served, and count failed suites

Cause: in a clean clone the first statement after the start was refused as above its rate (test of serving, preparation): slots became usable, but the limits were told of them only with the next step of the claims, up to 1.25 s later, while a request waits 0.5 s.

Ruled out: the wait for slots itself (the instance had held them for a while).

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -165,6 +165,8 @@
     while (!isComplete() && this.clock.now() < patience && !this.stopping) {
       await delay(READY_STEP_MS);
     }
+    // The slots may have become usable since the limits were last told of them.
+    this.spread();
   }
 
   /** Stops between requests: leaves peers, finishes transactions, hands shares back. */
--- a/scripts/src/report-tests.ts
+++ b/scripts/src/report-tests.ts
@@ -36,8 +36,10 @@
 const known = readKnown(knownFile);
 const tests = files.flatMap((file) => file.assertionResults);
 const failures = tests.filter((test) => test.status === 'failed');
+// A file fails without a failed test if it could not be loaded, or if its preparation failed.
 const unrun = files.filter(
-  (file) => file.status === 'failed' && file.assertionResults.length === 0,
+  (file) =>
+    file.status === 'failed' && file.assertionResults.every(({ status }) => status !== 'failed'),
 );
 for (const test of failures) {
   print(`${known.has(test.fullName) ? 'known red' : 'failed'}: ${test.fullName}`);
