Start and judge the load of a fleet in one place

Cause: faults:processes and measure:drain held the same start and end of their load. Change: FleetLoad in scripts/src/fleet; nothing else differs. Ruled out: a shared base of all strikes of the lab as well; their faults differ in what they do to the store, so that waits for a look of its own.

--- a/scripts/src/faults-processes.ts
+++ b/scripts/src/faults-processes.ts
@@ -3,8 +3,8 @@
  * one fleet under roaming callers: `faults-processes [CELL ...]` prints one JSON line.
  */
 import { join } from 'node:path';
-import { RoamingWorkload } from '@heatherledge/lab';
-import { Balancer } from './fleet/balancer.js';
+import type { RoamingWorkload } from '@heatherledge/lab';
+import { FleetLoad } from './fleet/fleet-load.js';
 import { callAdmin, LocalFleet, setMemberFaults, setPlatformFaults } from './fleet/local-fleet.js';
 import { sleep } from './fleet/sleep.js';
 import type { FleetProcess } from './fleet/fleet-process.js';
@@ -25,11 +25,8 @@
 }
 
 const GROUP = 'subscriptions-1';
-const SESSIONS = 12;
-const PAUSE_MS = 15;
 const FAULT_MS = 4500;
 const REST_MS = 3500;
-const WARM_UP_MS = 4000;
 const GAP_LIMIT_MS = 8000;
 
 const fleet = new LocalFleet(join('results', 'faults-processes'));
@@ -146,23 +143,13 @@
 }
 
 async function run(): Promise<{ report: object; isGood: boolean }> {
-  await fleet.start();
-  await sleep(WARM_UP_MS);
-  const balancer = new Balancer(fleet.instances);
-  const workload = new RoamingWorkload(() => balancer.choose());
-  await workload.prepare();
-  const sessions = Array.from({ length: SESSIONS }, async (_, index) =>
-    workload.runSession(index, PAUSE_MS),
-  );
-  await sleep(WARM_UP_MS / 2);
+  const load = await FleetLoad.start(fleet);
+  const { workload } = load;
   const results: ProcessResult[] = [];
   const wanted = process.argv.slice(2).filter((word) => !word.startsWith('-'));
   const cells = createCells().filter(({ id }) => wanted.length === 0 || wanted.includes(id));
   for (const cell of cells) results.push(await runCell(cell, workload));
-  workload.stop();
-  await Promise.all(sessions);
-  await workload.check();
-  balancer.stop();
+  await load.finish();
   const last = fleet.instances[0];
   const state = last && ((await callAdmin(last, '/v1/status')) as { revision: number });
   const { lost, doubled, stale, falseRefusals } = workload.counts;
--- a/scripts/src/measure-drain.ts
+++ b/scripts/src/measure-drain.ts
@@ -1,27 +1,16 @@
 /** Restarts every instance of the local fleet under load, one after another, and counts. */
 import { join } from 'node:path';
-import { RoamingWorkload } from '@heatherledge/lab';
-import { Balancer } from './fleet/balancer.js';
+import { FleetLoad } from './fleet/fleet-load.js';
 import { LocalFleet } from './fleet/local-fleet.js';
 import { sleep } from './fleet/sleep.js';
 
-const SESSIONS = 12;
-const PAUSE_MS = 15;
-const WARM_UP_MS = 4000;
 const BETWEEN_MS = 500;
 
 const fleet = new LocalFleet(join('results', 'measure-drain'));
 
 async function run(): Promise<object> {
-  await fleet.start();
-  await sleep(WARM_UP_MS);
-  const balancer = new Balancer(fleet.instances);
-  const workload = new RoamingWorkload(() => balancer.choose());
-  await workload.prepare();
-  const sessions = Array.from({ length: SESSIONS }, async (_, index) =>
-    workload.runSession(index, PAUSE_MS),
-  );
-  await sleep(WARM_UP_MS / 2);
+  const load = await FleetLoad.start(fleet);
+  const { workload } = load;
   const stopMs: number[] = [];
   const exitCodes: (number | null)[] = [];
   for (const instance of fleet.instances) {
@@ -31,10 +20,7 @@
     await instance.process.start();
     await sleep(BETWEEN_MS);
   }
-  workload.stop();
-  await Promise.all(sessions);
-  await workload.check();
-  balancer.stop();
+  await load.finish();
   const refusals = Object.fromEntries(workload.refusals);
   return { ...workload.counts, restarted: stopMs.length, exitCodes, stopMs, refusals };
 }
