--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,10 @@
   'cluster',
 ].flatMap((name) => [name, `node:${name}`]);
 
+/** Names of the users' platform, which only its adapter may know. */
+const PLATFORM_NAMES =
+  '/X-Heatherledge|kv-(txn|watch|range|key|lease|keep)|op\\/config|HEATHERLEDGE_NODE_FILE|bounded_staleness|read_own_writes|WAITFOR|STEPDOWN|CONNLIMIT|READONLY/';
+
 const sourceOf = (name) => [`packages/${name}/src/**/*.ts`];
 
 /** Rules of the Airbnb style guide that are not part of the recommended sets. */
@@ -48,7 +52,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'target/**', 'journal/**'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   prettier,
@@ -117,6 +121,34 @@
       ],
     },
   },
+  {
+    files: [...sourceOf('core'), ...sourceOf('gateway'), ...sourceOf('daemon')],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=${PLATFORM_NAMES}], TemplateElement[value.raw=${PLATFORM_NAMES}]`,
+          message: "Names of the users' platform belong in platform/.",
+        },
+      ],
+    },
+  },
+  {
+    files: sourceOf('gateway'),
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: ['child_process', 'node:child_process'],
+          patterns: ['@heatherledge/platform', '@heatherledge/stand-ins', '@heatherledge/lab'],
+        },
+      ],
+    },
+  },
+  {
+    files: ['scripts/*.mjs'],
+    languageOptions: { globals: { URL: 'readonly' } },
+  },
   {
     // The syntax trees of PostgreSQL's grammar are walked without types.
     files: ['packages/stand-ins/src/**/*.ts', 'packages/daemon/src/sql/*.ts'],
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,3 +9,7 @@
 export * from './peers/peer-messages.js';
 export * from './runtime/metrics.js';
 export * from './settings/writer-role.js';
+export * from './limits/limits-task.js';
+export * from './peers/peer-hub.js';
+export * from './runtime/random.js';
+export * from './runtime/system-clock.js';
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -13,13 +13,20 @@
   type OrganisationId,
   ProxyError,
   rateExceeded,
-  type SettingsIndex,
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
 import type { PeerHub } from '../peers/peer-hub.js';
 import type { PeerBodyOf } from '../peers/peer-messages.js';
 
+/** Rates of all organisations, from whatever settings are in use. */
+export interface OrganisationRates {
+  readonly organisations: ReadonlyMap<
+    OrganisationId,
+    { readonly requestsPerSecond: number; readonly burst: number }
+  >;
+}
+
 /** What the task needs to know of slots. */
 export interface SlotKnowledge {
   readonly owned: readonly number[];
@@ -58,7 +65,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private settings: SettingsIndex | undefined;
+  private settings: OrganisationRates | undefined;
 
   private slots: SlotKnowledge = { owned: [], slotCount: 0, holders: new Set() };
 
@@ -86,7 +93,7 @@
    * @param settings - the newest settings
    * @param slots - slots held here
    */
-  update(settings: SettingsIndex, slots: SlotKnowledge): void {
+  update(settings: OrganisationRates, slots: SlotKnowledge): void {
     this.settings = settings;
     this.slots = slots;
     for (const [id, { desk }] of this.desks) this.resize(id, desk);
--- /dev/null
+++ b/packages/gateway/src/failover/coordinator-task.ts
@@ -0,0 +1,154 @@
+/** Watches the primaries of all groups and replaces those that leave or fail, one instance at a time. */
+import {
+  type GroupId,
+  type MemberId,
+  type Milliseconds,
+  SuspicionBook,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
+import type { PeerHub } from '@heatherledge/daemon';
+import { encodeRecord, formatPrimaryKey } from '../fleet/records.js';
+import type { StoreRevision } from '../ports/control-store.js';
+import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
+import { type ChangeReason, type ChangeServices, PrimaryChange } from './primary-change.js';
+
+/** How often primaries are judged. */
+const STEP_MS = 100;
+/** A primary that has owed an answer for this long is suspected. */
+const SILENCE_MS = 400;
+/** A primary that is not listed is replaced only after this, since the list lags. */
+const MISSING_MS = 400;
+/** Time for a call of the store. */
+const CALL_TIMEOUT_MS = toMilliseconds(900);
+
+/** Owns the changes of primary that this instance carries out, and its own suspicions. */
+export class CoordinatorTask {
+  private readonly suspicions = new SuspicionBook();
+
+  private readonly running = new Set<GroupId>();
+
+  private readonly missingSince = new Map<GroupId, Milliseconds>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly services: ChangeServices,
+    private readonly hub: PeerHub,
+    private readonly metrics: GatewayMetrics,
+  ) {
+    hub.handle('primary.suspend', ({ group, epoch }) => {
+      services.groups.suspendPrimary(toBrand<GroupId>(group), epoch);
+      return { kind: 'done' };
+    });
+    hub.handle('primary.suspect', ({ group, member }, from) => {
+      const now = services.clock.now();
+      this.suspicions.note(toBrand<GroupId>(group), toBrand<MemberId>(member), from, now);
+      return undefined;
+    });
+  }
+
+  /** Begins to judge. */
+  start(): void {
+    this.timer = setInterval(() => this.step(), STEP_MS);
+  }
+
+  /** Begins no further change. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private step(): void {
+    const { view, lease } = this.services;
+    for (const group of view.settings?.groups.keys() ?? []) {
+      this.reportSilence(group);
+      if (lease.isHeld && !this.running.has(group)) void this.judge(group);
+    }
+  }
+
+  /** Tells the coordinator of a primary that owes answers. */
+  private reportSilence(group: GroupId): void {
+    const { groups, clock, view, self } = this.services;
+    const member = groups.findPrimary(group);
+    const pool = member === undefined ? undefined : groups.findPool(member);
+    if (member === undefined || pool === undefined) return;
+    const now = clock.now();
+    if (pool.resolveSilence(now) < SILENCE_MS && pool.avoidUntil <= now) return;
+    const coordinator = view.coordinator?.value.instance.split('/')[0];
+    if (coordinator === self) this.suspicions.note(group, member, self, now);
+    else if (coordinator !== undefined) {
+      this.hub.tell(toBrand(coordinator), { kind: 'primary.suspect', group, member });
+    }
+  }
+
+  private async judge(group: GroupId): Promise<void> {
+    this.running.add(group);
+    try {
+      const record = this.services.view.primaries.get(group);
+      if (record === undefined) {
+        await this.adoptFirst(group);
+        return;
+      }
+      const reason = await this.findReason(group, record.value.member as MemberId | undefined);
+      if (reason === undefined) return;
+      const isDone = await new PrimaryChange(group, this.services).run(reason);
+      this.metrics.primaryChanges.inc({ outcome: isDone ? 'done' : 'failed' });
+      if (isDone) this.suspicions.remove(group);
+    } finally {
+      this.running.delete(group);
+    }
+  }
+
+  private async findReason(
+    group: GroupId,
+    member: MemberId | undefined,
+  ): Promise<ChangeReason | undefined> {
+    const { view, clock, control } = this.services;
+    if (member === undefined) return 'resumed';
+    const now = clock.now();
+    const entry = view.members.get(member);
+    if (entry === undefined) {
+      const since = this.missingSince.get(group) ?? now;
+      this.missingSince.set(group, since);
+      return now - since >= MISSING_MS ? 'missing' : undefined;
+    }
+    this.missingSince.delete(group);
+    const mayReplace = view
+      .listMembers(group)
+      .some(({ id, isDraining }) => id !== member && !isDraining);
+    if (entry.isDraining && mayReplace) return 'draining';
+    if (!this.suspicions.isSuspected(group, member, now)) return undefined;
+    const status = await control.ask(entry, { kind: 'status' });
+    const probe = { isAlive: status !== undefined };
+    const needed = this.suspicions.needsChange(
+      group,
+      member,
+      view.instances.size,
+      probe,
+      clock.now(),
+    );
+    return needed ? 'unreachable' : undefined;
+  }
+
+  /** Writes down the primary that the members themselves name, where none is recorded yet. */
+  private async adoptFirst(group: GroupId): Promise<void> {
+    const { view, store, lease, log } = this.services;
+    const leading = view.listMembers(group).filter(({ role }) => role === 'primary');
+    const [primary] = leading;
+    if (leading.length !== 1 || primary === undefined) return;
+    const key = formatPrimaryKey(group);
+    const value = { epoch: 1, member: primary.id };
+    const written = await store.commit(
+      {
+        expect: [lease.expectation, { key, revision: 0 as StoreRevision }],
+        puts: [{ key, value: encodeRecord(value), lease: undefined }],
+        removes: [],
+      },
+      CALL_TIMEOUT_MS,
+    );
+    if (written.isErr()) return;
+    const revision = written.value;
+    view.adoptPrimary(group, { value, revision, createdRevision: revision });
+    log.info('primary.adopted', { group, primary: primary.id });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet-task.ts
@@ -0,0 +1,144 @@
+/** Keeps the view of the fleet up to date and confirmed. */
+import { type Clock, type InstanceId, toMilliseconds } from '@heatherledge/core';
+import { delay } from '@heatherledge/daemon';
+import type { ControlStore, StoreRevision } from '../ports/control-store.js';
+import type { EventLog } from '../runtime/event-log.js';
+import type { FleetView } from './fleet-view.js';
+import { encodeRecord, formatInstanceKey, type InstanceRecord } from './records.js';
+
+/** A watch that waits costs one call; a connection that went silent is noticed after this. */
+const WATCH_WAIT_MS = toMilliseconds(5000);
+/** Time for an ordinary call: the store answers in 4 ms, in an outage 70 times as slowly. */
+const CALL_TIMEOUT_MS = toMilliseconds(1200);
+/** How often the view is confirmed; two may fail before a primary is no longer trusted. */
+const CONFIRM_EVERY_MS = 1000;
+/** Pause after a failed call. */
+const RETRY_MS = 250;
+/** Random part added to each pause, so that instances do not call at once. */
+const RETRY_SPREAD_MS = 250;
+
+/** Owns the calls of the store that keep an instance informed. */
+export class FleetTask {
+  private stopped = false;
+
+  private watchedUpTo: StoreRevision | undefined;
+
+  private hasStore = false;
+
+  constructor(
+    private readonly self: InstanceId,
+    private readonly record: InstanceRecord,
+    private readonly store: ControlStore,
+    private readonly view: FleetView,
+    private readonly clock: Clock,
+    private readonly random: () => number,
+    private readonly log: EventLog,
+  ) {}
+
+  /** Reads the store and registers, trying until it works, then keeps watching. */
+  async start(): Promise<void> {
+    while (!this.stopped && !(await this.load())) await this.pause();
+    while (!this.stopped && !(await this.register())) await this.pause();
+    void this.runWatch();
+    void this.runConfirmations();
+  }
+
+  /** Makes no further calls. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /**
+   * Reads everything anew.
+   *
+   * @returns whether the store answered
+   */
+  async load(): Promise<boolean> {
+    const askedAt = this.clock.now();
+    const snapshot = await this.store.readAll('', CALL_TIMEOUT_MS);
+    if (snapshot.isErr()) {
+      this.noteStore(false, snapshot.error.reason);
+      return false;
+    }
+    this.noteStore(true);
+    this.view.replace(snapshot.value.items);
+    this.view.confirmation.confirm(askedAt);
+    this.watchedUpTo = snapshot.value.revision;
+    return true;
+  }
+
+  /** Writes this instance's record over that of its earlier life. */
+  private async register(): Promise<boolean> {
+    const key = formatInstanceKey(this.self);
+    const put = { key, value: encodeRecord(this.record), lease: undefined };
+    const written = await this.store.commit(
+      { expect: [], puts: [put], removes: [] },
+      CALL_TIMEOUT_MS,
+    );
+    if (written.isErr()) {
+      this.noteStore(false, written.error.reason);
+      return false;
+    }
+    this.log.info('instance.registered', { instance: this.self, revision: written.value });
+    return this.load();
+  }
+
+  private async runWatch(): Promise<void> {
+    while (!this.stopped) {
+      const after = this.watchedUpTo;
+      if (after === undefined) {
+        if (!(await this.load())) await this.pause();
+        continue;
+      }
+      const changes = await this.store.watch('', after, WATCH_WAIT_MS);
+      if (changes.isOk()) {
+        this.watchedUpTo = changes.value.revision;
+        if (changes.value.events.length > 0) this.view.apply(changes.value.events);
+        continue;
+      }
+      if (this.stopped) return;
+      this.log.warn('watch.ended', { kind: changes.error.kind, reason: changes.error.reason });
+      if (changes.error.kind === 'history-lost') this.watchedUpTo = undefined;
+      else await this.pause();
+    }
+  }
+
+  private async runConfirmations(): Promise<void> {
+    while (!this.stopped) {
+      await delay(CONFIRM_EVERY_MS);
+      if (this.stopped) return;
+      await this.confirm();
+    }
+  }
+
+  /** Checks with one conditional call that settings and primaries are still the newest. */
+  private async confirm(): Promise<void> {
+    if (!this.view.instances.has(this.self)) {
+      await this.register();
+      return;
+    }
+    const askedAt = this.clock.now();
+    const expect = this.view.listExpectations(this.self);
+    const checked = await this.store.commit({ expect, puts: [], removes: [] }, CALL_TIMEOUT_MS);
+    if (checked.isOk()) {
+      this.noteStore(true);
+      this.view.confirmation.confirm(askedAt);
+    } else if (checked.error.kind === 'conflict') {
+      await this.load();
+    } else {
+      this.noteStore(false, checked.error.reason);
+    }
+  }
+
+  private noteStore(works: boolean, reason?: string): void {
+    if (works === this.hasStore) return;
+    this.hasStore = works;
+    const ageMs = Math.round(this.view.confirmation.resolveAge(this.clock.now()));
+    if (works) this.log.info('store.regained', { confirmationAgeMs: ageMs });
+    else this.log.warn('store.lost', { confirmationAgeMs: ageMs, reason });
+  }
+
+  private async pause(): Promise<void> {
+    await delay(RETRY_MS + this.random() * RETRY_SPREAD_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/share-book.ts
@@ -0,0 +1,62 @@
+/** Divides every organisation's rate among the instances by what the store lists. */
+import type { InstanceId, Milliseconds } from '@heatherledge/core';
+import type { SlotKnowledge } from '@heatherledge/daemon';
+import type { Stored } from './fleet-view.js';
+import type { InstanceRecord } from './records.js';
+
+/**
+ * Resolves an instance's part of the rates.
+ *
+ * An instance that has joined takes its part only after every other one that still serves must have
+ * seen it, and parts grow only after an instance has been gone for as long. So parts never add up
+ * to more than the whole, also where an instance is cut off from the store.
+ */
+export class ShareBook {
+  private readonly listedUntil = new Map<InstanceId, Milliseconds>();
+
+  private joinedAt: Milliseconds | undefined;
+
+  private known: { readonly names: string; readonly knowledge: SlotKnowledge } | undefined;
+
+  /**
+   * @param self - this instance
+   * @param settleMs - longest time for which an instance serves without news of the others
+   */
+  constructor(
+    private readonly self: InstanceId,
+    private readonly settleMs: Milliseconds,
+  ) {}
+
+  /**
+   * @param instances - instances listed now
+   * @param now - present moment
+   * @returns this instance's part
+   */
+  resolve(
+    instances: ReadonlyMap<InstanceId, Stored<InstanceRecord>>,
+    now: Milliseconds,
+  ): SlotKnowledge {
+    for (const id of instances.keys()) this.listedUntil.set(id, now);
+    for (const [id, at] of this.listedUntil) {
+      if (now - at > this.settleMs) this.listedUntil.delete(id);
+    }
+    const mayUse = this.mayUsePart(instances.get(this.self), now);
+    const names = `${mayUse} ${[...this.listedUntil.keys()].sort().join(' ')}`;
+    if (this.known?.names === names) return this.known.knowledge;
+    const holders = new Set([...this.listedUntil.keys()]);
+    const knowledge = { owned: mayUse ? [0] : [], slotCount: holders.size, holders };
+    this.known = { names, knowledge };
+    return knowledge;
+  }
+
+  /** A record that was written over an earlier one keeps its part; the others have counted it. */
+  private mayUsePart(own: Stored<InstanceRecord> | undefined, now: Milliseconds): boolean {
+    if (own === undefined) {
+      this.joinedAt = undefined;
+      return false;
+    }
+    if (own.revision !== own.createdRevision) return true;
+    this.joinedAt ??= now;
+    return now - this.joinedAt > this.settleMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,210 @@
+/** One gateway process: composes the tasks and starts and stops them in order. */
+import {
+  Confirmation,
+  type InstanceRecord as PeerRecord,
+  toMilliseconds,
+} from '@heatherledge/core';
+import { createRandom, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { CoordinatorLease } from './failover/coordinator-lease.js';
+import { CoordinatorTask } from './failover/coordinator-task.js';
+import { MemberControl } from './failover/member-control.js';
+import { FleetTask } from './fleet/fleet-task.js';
+import { FleetView } from './fleet/fleet-view.js';
+import { ShareBook } from './fleet/share-book.js';
+import { GroupsTask } from './members/groups-task.js';
+import type { CallerListener } from './ports/caller-protocol.js';
+import type { ControlStore } from './ports/control-store.js';
+import type { FleetDirectory, PromotionPort } from './ports/fleet-directory.js';
+import type { MemberConnector } from './ports/member-protocol.js';
+import type { EventLog } from './runtime/event-log.js';
+import { GatewayMetrics } from './runtime/gateway-metrics.js';
+import type { SuspensionAwareClock } from './runtime/suspension-aware-clock.js';
+import { SettingsGrantJudge } from './sessions/grant-judge.js';
+import { SessionsTask } from './sessions/sessions-task.js';
+import type { GatewaySettings } from './settings.js';
+
+/** Time between a statement's last check and its arrival at a member, at most. */
+const KEY_MARGIN_MS = 1000;
+/** How old the knowledge of a primary may be; a change of primary waits for as long. */
+const PRIMARY_BELIEF_MS = 2800;
+/** Above this age an instance asks for no new callers. */
+const READY_AGE_MS = 2600;
+/** Peers are reached only on the platform's own network; the text keeps strangers out by mistake. */
+const PEER_SECRET = 'heatherledge-gateway';
+
+/** What the platform provides. */
+export interface GatewayPorts {
+  readonly store: ControlStore;
+  readonly directory: FleetDirectory;
+  readonly promotions: PromotionPort;
+  readonly members: MemberConnector;
+  readonly callers: CallerListener;
+}
+
+/** Owns all tasks of one instance. */
+export class Gateway {
+  readonly metrics = new GatewayMetrics();
+
+  private readonly random = createRandom();
+
+  private readonly view: FleetView;
+
+  private readonly groups: GroupsTask;
+
+  private readonly hub: PeerHub;
+
+  private readonly limits: LimitsTask;
+
+  private readonly fleet: FleetTask;
+
+  private readonly lease: CoordinatorLease;
+
+  private readonly control: MemberControl;
+
+  private readonly coordinator: CoordinatorTask;
+
+  private readonly sessions: SessionsTask;
+
+  private readonly shares: ShareBook;
+
+  private isStopping = false;
+
+  private isStarted = false;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly ports: GatewayPorts,
+    private readonly clock: SuspensionAwareClock,
+    private readonly log: EventLog,
+  ) {
+    const { instance, keyLifeMs, host, peerPort, failureDomain } = settings;
+    const keyedMs = toMilliseconds(keyLifeMs - KEY_MARGIN_MS);
+    const primaryMs = toMilliseconds(Math.min(PRIMARY_BELIEF_MS, keyedMs));
+    const confirmation = new Confirmation({
+      keyedMs,
+      primaryMs,
+      readyMs: toMilliseconds(READY_AGE_MS),
+    });
+    const { store, directory, promotions, members } = ports;
+    this.view = new FleetView(directory, confirmation, log);
+    this.groups = new GroupsTask(settings, this.view, members, clock, this.metrics, log);
+    const identity = { self: instance, secret: PEER_SECRET };
+    this.hub = new PeerHub(identity, (id) => this.resolvePeer(id));
+    this.limits = new LimitsTask(instance, this.hub, clock);
+    const record = { host, peerPort, domain: failureDomain };
+    this.fleet = new FleetTask(instance, record, store, this.view, clock, this.random, log);
+    this.lease = new CoordinatorLease(instance, store, this.view, clock, this.random, log);
+    this.control = new MemberControl(members, clock, () => this.resolveAnyOrganisation());
+    this.coordinator = new CoordinatorTask(
+      {
+        self: instance,
+        clock,
+        view: this.view,
+        store,
+        lease: this.lease,
+        control: this.control,
+        promotions,
+        hub: this.hub,
+        groups: this.groups,
+        log,
+        beliefMs: primaryMs,
+      },
+      this.hub,
+      this.metrics,
+    );
+    this.shares = new ShareBook(instance, keyLifeMs);
+    this.sessions = new SessionsTask({
+      clock,
+      groups: this.groups,
+      judge: new SettingsGrantJudge(this.view, clock),
+      metrics: this.metrics,
+      log,
+      random: this.random,
+      view: this.view,
+      limits: this.limits,
+    });
+    this.view.onChange(() => this.updateLimits());
+  }
+
+  /** Starts everything; callers are accepted from the beginning and served once settings are known. */
+  async start(): Promise<void> {
+    const { settings, ports, log } = this;
+    const { host, peerPort, metricsPort } = settings;
+    await this.hub.start({ host, port: peerPort });
+    await this.metrics.serve(host, metricsPort, () => this.describe());
+    await ports.callers.start((channel) => this.sessions.accept(channel));
+    this.groups.start();
+    await this.fleet.start();
+    this.lease.start();
+    this.coordinator.start();
+    this.sharesTimer = setInterval(() => this.updateLimits(), SHARES_EVERY_MS);
+    this.isStarted = true;
+    log.info('gateway.started', { instance: settings.instance, domain: settings.failureDomain });
+  }
+
+  /** Lets callers finish, gives back what others can use, and ends. */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    this.log.info('gateway.stopping', { sessions: this.sessions.count });
+    this.coordinator.stop();
+    await Promise.all([this.lease.stop(), this.sessions.drain(this.settings.stopWithinMs)]);
+    this.ports.callers.stop();
+    clearInterval(this.sharesTimer);
+    this.limits.stop();
+    this.fleet.stop();
+    this.groups.stop();
+    this.control.close();
+    this.hub.stop();
+    this.metrics.stop();
+    this.ports.store.close();
+    this.log.info('gateway.stopped', { sessions: this.sessions.count });
+  }
+
+  /** @returns whether the instance wants new callers */
+  get isReady(): boolean {
+    if (this.isStopping || !this.isStarted) return false;
+    if (!this.view.confirmation.isReady(this.clock.now())) return false;
+    return this.view.members.size > 0 && this.view.primaries.size > 0;
+  }
+
+  /** @returns the state of the process, for people */
+  describe(): unknown {
+    return {
+      instance: this.settings.instance,
+      isReady: this.isReady,
+      settingsVersion: this.view.settings?.version,
+      confirmationAgeMs: this.view.confirmation.resolveAge(this.clock.now()),
+      isCoordinator: this.lease.isHeld,
+      coordinator: this.view.coordinator?.value.instance,
+      instances: [...this.view.instances.keys()],
+      primaries: Object.fromEntries([...this.view.primaries].map(([id, { value }]) => [id, value])),
+      members: this.groups.describe(),
+      limits: Object.fromEntries(this.limits.describe()),
+      sessions: this.sessions.count,
+    };
+  }
+
+  private sharesTimer: NodeJS.Timeout | undefined;
+
+  private updateLimits(): void {
+    const { settings, instances } = this.view;
+    if (settings === undefined) return;
+    this.limits.update(settings, this.shares.resolve(instances, this.clock.now()));
+  }
+
+  private resolvePeer(id: PeerRecord['id']): PeerRecord | undefined {
+    const record = this.view.instances.get(id)?.value;
+    if (record === undefined) return undefined;
+    const { host, peerPort, domain } = record;
+    const failureDomain = domain as PeerRecord['failureDomain'];
+    return { id, host, peerPort, failureDomain, incarnation: 0, state: 'alive' };
+  }
+
+  private resolveAnyOrganisation(): ReturnType<MemberControl['resolveOrganisation']> {
+    return this.view.settings?.organisations.keys().next().value;
+  }
+}
+
+/** How often shares of rates are worked out anew; they also change with the instances. */
+const SHARES_EVERY_MS = 500;
--- /dev/null
+++ b/packages/gateway/src/members/groups-task.ts
@@ -0,0 +1,276 @@
+/** The groups as one instance sees them: members, connections, primaries and their logs. */
+import {
+  type Clock,
+  type Confirmation,
+  type GroupId,
+  type LogMark,
+  type LogSample,
+  type MemberEntry,
+  type MemberId,
+  type Milliseconds,
+  type ReaderState,
+  toMilliseconds,
+} from '@heatherledge/core';
+import { resolvePrimary } from '../fleet/records.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { MemberConnector } from '../ports/member-protocol.js';
+import type { EventLog } from '../runtime/event-log.js';
+import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
+import type { GatewaySettings } from '../settings.js';
+import type { Exchange } from './member-connection.js';
+import { MemberPool, type PoolListener } from './member-pool.js';
+
+/** Requests that may wait for connections to one member. */
+const MOST_WAITING = 64;
+/** Fewest connections that an instance may open to a member. */
+const FEWEST_CONNECTIONS = 2;
+/** Instances use their connections unevenly; this much more than an even part is allowed. */
+const UNEVEN_USE_FACTOR = 2;
+/** How often connections that are not needed are closed. */
+const TRIM_EVERY_MS = 500;
+/** How long a replica is taken for lagging after it refused a read. */
+const LAGGING_MS = 150;
+
+interface MemberState {
+  readonly entry: MemberEntry;
+  readonly pool: MemberPool;
+  readonly limits: { most: number; mostWaiting: number };
+  seen: LogMark | undefined;
+  seenAt: Milliseconds;
+  laggingUntil: Milliseconds;
+}
+
+/** Owns the pools and what their answers tell. */
+export class GroupsTask implements PoolListener {
+  private readonly states = new Map<MemberId, MemberState>();
+
+  private readonly samples = new Map<GroupId, LogSample & { readonly member: MemberId }>();
+
+  /** Groups whose primary another instance has announced to be changing, with the epoch. */
+  private readonly changing = new Map<GroupId, number>();
+
+  private primaryWaiters: { readonly group: GroupId; readonly resolve: () => void }[] = [];
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly view: FleetView,
+    private readonly connector: MemberConnector,
+    private readonly clock: Clock,
+    private readonly metrics: GatewayMetrics,
+    private readonly log: EventLog,
+  ) {
+    view.onChange(() => this.refresh());
+  }
+
+  /** Begins to close what is not needed. */
+  start(): void {
+    this.timer = setInterval(() => {
+      for (const { pool } of this.states.values()) pool.trim();
+    }, TRIM_EVERY_MS);
+  }
+
+  /** Closes all connections. */
+  stop(): void {
+    clearInterval(this.timer);
+    for (const { pool } of this.states.values()) pool.close();
+  }
+
+  /** @returns how old the instance's knowledge is */
+  get confirmation(): Confirmation {
+    return this.view.confirmation;
+  }
+
+  /**
+   * @param group - the group
+   * @returns its primary, or undefined while it is not known or being changed
+   */
+  findPrimary(group: GroupId): MemberId | undefined {
+    const record = this.view.primaries.get(group);
+    const changingEpoch = this.changing.get(group);
+    if (record === undefined) return undefined;
+    if (changingEpoch !== undefined && record.value.epoch <= changingEpoch) return undefined;
+    const primary = resolvePrimary(record.value);
+    return primary !== undefined && this.states.has(primary) ? primary : undefined;
+  }
+
+  /**
+   * Stops using a group's primary, as the instance that changes it asks.
+   *
+   * @param group - the group
+   * @param epoch - epoch of the change
+   */
+  suspendPrimary(group: GroupId, epoch: number): void {
+    if ((this.changing.get(group) ?? 0) >= epoch) return;
+    this.changing.set(group, epoch);
+    this.samples.delete(group);
+    this.log.info('primary.suspended', { group, epoch });
+  }
+
+  /**
+   * Waits until a group has a primary.
+   *
+   * @param group - the group
+   * @param waitMs - longest wait, in milliseconds
+   * @returns the primary, or undefined if the time ran out
+   */
+  async waitForPrimary(group: GroupId, waitMs: number): Promise<MemberId | undefined> {
+    const known = this.findPrimary(group);
+    if (known !== undefined || waitMs <= 0) return known;
+    await new Promise<void>((resolve) => {
+      const waiter = { group, resolve };
+      const timer = setTimeout(() => {
+        this.primaryWaiters = this.primaryWaiters.filter((other) => other !== waiter);
+        resolve();
+      }, waitMs);
+      waiter.resolve = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      this.primaryWaiters.push(waiter);
+    });
+    return this.findPrimary(group);
+  }
+
+  /** @returns the pool of a member, if it is listed */
+  findPool(member: MemberId): MemberPool | undefined {
+    return this.states.get(member)?.pool;
+  }
+
+  /** @returns the newest sample of the primary's log */
+  findSample(group: GroupId): LogSample | undefined {
+    return this.samples.get(group);
+  }
+
+  /**
+   * @param group - the group
+   * @returns members that may serve reads
+   */
+  listReaders(group: GroupId): ReaderState[] {
+    const primary = this.findPrimary(group);
+    const now = this.clock.now();
+    const readers: ReaderState[] = [];
+    for (const state of this.states.values()) {
+      const { entry, pool, seen, seenAt, laggingUntil } = state;
+      if (entry.group !== group) continue;
+      const isPrimary = entry.id === primary;
+      if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
+      const { id, isDraining } = entry;
+      const { pending, avoidUntil } = pool;
+      const distance = this.resolveDistance(entry.failureDomain);
+      readers.push({
+        id,
+        isPrimary,
+        isDraining,
+        distance,
+        pending,
+        avoidUntil,
+        seen,
+        seenAt,
+        laggingUntil,
+      });
+    }
+    return readers;
+  }
+
+  /** Takes note that a replica's log lacked what a read had to see. */
+  noteLagging(member: MemberId): void {
+    const state = this.states.get(member);
+    if (state !== undefined) state.laggingUntil = toMilliseconds(this.clock.now() + LAGGING_MS);
+  }
+
+  onAnswer(entry: MemberEntry, exchange: Extract<Exchange, { kind: 'answered' }>): void {
+    const { mark } = exchange.reply;
+    const state = this.states.get(entry.id);
+    if (mark === undefined || state === undefined) return;
+    state.seen = mark;
+    state.seenAt = this.clock.now();
+    this.noteSample(entry, mark, exchange.sentAt);
+  }
+
+  onUnreachable(entry: MemberEntry, reason: string): void {
+    this.log.warn('member.unreachable', { member: entry.id, group: entry.group, reason });
+  }
+
+  onConnection(outcome: 'opened' | 'refused' | 'failed'): void {
+    this.metrics.memberConnections.inc({ outcome });
+  }
+
+  /** @returns figures for the state dump */
+  describe(): unknown {
+    return [...this.states.values()].map(({ entry, pool, seen }) => ({
+      member: entry.id,
+      group: entry.group,
+      isPrimary: this.findPrimary(entry.group) === entry.id,
+      connections: pool.size,
+      pending: pool.pending,
+      seen,
+    }));
+  }
+
+  /** Keeps what the primary's log held, if it surely was the only primary when it was asked. */
+  private noteSample(entry: MemberEntry, mark: LogMark, takenAt: Milliseconds): void {
+    if (this.findPrimary(entry.group) !== entry.id) return;
+    if (!this.view.confirmation.mayTrustPrimary(this.clock.now())) return;
+    const known = this.samples.get(entry.group);
+    if (known !== undefined && known.member === entry.id && known.takenAt >= takenAt) return;
+    this.samples.set(entry.group, { mark, takenAt, member: entry.id });
+  }
+
+  private resolveDistance(failureDomain: string): number {
+    if (failureDomain === this.settings.failureDomain) return 0;
+    const { regionByDomain } = this.settings;
+    const isNear =
+      regionByDomain.get(failureDomain) === regionByDomain.get(this.settings.failureDomain);
+    return isNear ? 1 : 2;
+  }
+
+  private refresh(): void {
+    for (const [id, state] of this.states) {
+      const entry = this.view.members.get(id);
+      if (entry !== undefined && isSamePlace(entry, state.entry)) continue;
+      this.states.delete(id);
+      state.pool.close();
+    }
+    for (const entry of this.view.members.values()) this.putMember(entry);
+    for (const [group, sample] of this.samples) {
+      if (this.findPrimary(group) !== sample.member) this.samples.delete(group);
+    }
+    this.wakeWaiters();
+  }
+
+  private putMember(entry: MemberEntry): void {
+    const group = this.view.settings?.groups.get(entry.group);
+    const known = this.states.get(entry.id);
+    const even = (group?.maxConnections ?? 0) / Math.max(1, this.view.instances.size);
+    const most = Math.max(FEWEST_CONNECTIONS, Math.floor(even * UNEVEN_USE_FACTOR));
+    if (known !== undefined) {
+      known.limits.most = most;
+      this.states.set(entry.id, Object.assign(known, { entry }));
+      return;
+    }
+    if (group === undefined) return;
+    const limits = { most, mostWaiting: MOST_WAITING };
+    const pool = new MemberPool(entry, this.connector, limits, this, this.clock);
+    const now = this.clock.now();
+    const laggingUntil = toMilliseconds(0);
+    this.states.set(entry.id, { entry, pool, limits, seen: undefined, seenAt: now, laggingUntil });
+  }
+
+  private wakeWaiters(): void {
+    const ready = this.primaryWaiters.filter(({ group }) => this.findPrimary(group) !== undefined);
+    if (ready.length === 0) return;
+    this.primaryWaiters = this.primaryWaiters.filter((waiter) => !ready.includes(waiter));
+    for (const { resolve } of ready) resolve();
+  }
+}
+
+function isSamePlace(left: MemberEntry, right: MemberEntry): boolean {
+  return (
+    left.host === right.host &&
+    left.port === right.port &&
+    left.incarnation === right.incarnation &&
+    left.group === right.group
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/members/member-pool.ts
@@ -0,0 +1,303 @@
+/** The connections of one instance to one member. */
+import {
+  type Clock,
+  type MemberEntry,
+  type Milliseconds,
+  type OrganisationId,
+  toMilliseconds,
+} from '@heatherledge/core';
+import type { WireError } from '../ports/caller-protocol.js';
+import type { MemberConnector } from '../ports/member-protocol.js';
+import {
+  type ConnectionOwner,
+  type Exchange,
+  MemberConnection,
+  type SessionState,
+} from './member-connection.js';
+
+/** How a request for a connection ended. */
+export type Acquired =
+  | { readonly kind: 'connection'; readonly connection: MemberConnection }
+  | { readonly kind: 'refused'; readonly reason: AcquireFailure };
+
+/** Why no connection was to be had. */
+export type AcquireFailure = 'timeout' | 'unreachable' | 'wrong-member' | 'queue-full' | 'closed';
+
+/** Time for a connection to open: a round trip between regions, the handshake, a short queue. */
+const OPEN_TIMEOUT_MS = 500;
+/** A connection that is not used is closed after this, so that others may have its place. */
+const IDLE_CLOSE_MS = 8000;
+/** An idle connection beyond the first is closed after this. */
+const SPARE_CLOSE_MS = 1500;
+/** Pause after a member had no connection left. */
+const FULL_PAUSE_MS = 25;
+/** How long a member is avoided after it could not be reached. */
+const AVOID_MS = 600;
+
+/** What a pool tells about its member. */
+export interface PoolListener {
+  onAnswer(entry: MemberEntry, exchange: Extract<Exchange, { kind: 'answered' }>): void;
+  onUnreachable(entry: MemberEntry, reason: string): void;
+  onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
+}
+
+/** Limits of a pool. */
+export interface PoolLimits {
+  /** Most connections of this instance. */
+  most: number;
+  /** Most requests that wait. */
+  mostWaiting: number;
+}
+
+interface Waiter {
+  readonly organisation: OrganisationId | undefined;
+  readonly session: SessionState;
+  readonly resolve: (acquired: Acquired) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Lends connections, one borrower at a time, and reuses them only within one organisation. */
+export class MemberPool implements ConnectionOwner {
+  private readonly idle: MemberConnection[] = [];
+
+  private readonly busy = new Set<MemberConnection>();
+
+  private readonly opening = new Map<MemberConnection, NodeJS.Timeout>();
+
+  private waiters: Waiter[] = [];
+
+  /** Moment until which the member is avoided where another can serve. */
+  avoidUntil: Milliseconds = toMilliseconds(0);
+
+  /** When the member last answered anything. */
+  lastAnswerAt: Milliseconds;
+
+  private pausedUntil: Milliseconds = toMilliseconds(0);
+
+  private pumpTimer: NodeJS.Timeout | undefined;
+
+  private isClosed = false;
+
+  constructor(
+    private readonly entry: MemberEntry,
+    private readonly connector: MemberConnector,
+    private readonly limits: PoolLimits,
+    private readonly listener: PoolListener,
+    private readonly clock: Clock,
+  ) {
+    this.lastAnswerAt = clock.now();
+  }
+
+  /** @returns statements that wait for or run at the member */
+  get pending(): number {
+    return this.busy.size + this.waiters.length;
+  }
+
+  /** @returns connections, open or being opened */
+  get size(): number {
+    return this.idle.length + this.busy.size + this.opening.size;
+  }
+
+  /**
+   * Borrows a connection.
+   *
+   * @param organisation - for whom
+   * @param session - session whose values a connection had best have already
+   * @param waitMs - longest wait, in milliseconds
+   */
+  async acquire(
+    organisation: OrganisationId | undefined,
+    session: SessionState,
+    waitMs: number,
+  ): Promise<Acquired> {
+    if (this.isClosed) return { kind: 'refused', reason: 'closed' };
+    const connection = this.takeIdle(organisation, session);
+    if (connection !== undefined) return { kind: 'connection', connection };
+    if (this.waiters.length >= this.limits.mostWaiting) {
+      return { kind: 'refused', reason: 'queue-full' };
+    }
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.expire(waiter), Math.max(1, waitMs));
+      const waiter = { organisation, session, resolve, timer };
+      this.waiters.push(waiter);
+      this.pump();
+    });
+  }
+
+  /**
+   * Gives a connection back.
+   *
+   * @param connection - must be outside a transaction
+   */
+  release(connection: MemberConnection): void {
+    if (connection.transactionState !== 'idle') connection.destroy('left inside a transaction');
+    if (!this.busy.delete(connection) || connection.isClosed) return;
+    connection.idleSince = this.clock.now();
+    const index = this.waiters.findIndex(
+      ({ organisation }) => organisation === connection.organisation,
+    );
+    if (index === 0 || (index > 0 && this.waiters.length < this.limits.most)) {
+      this.give(connection, this.waiters.splice(index, 1)[0] as Waiter);
+      return;
+    }
+    this.idle.push(connection);
+    if (this.waiters.length > 0) this.pump();
+  }
+
+  /** Drops a connection that is in an unknown state. */
+  discard(connection: MemberConnection, reason: string): void {
+    connection.destroy(reason);
+  }
+
+  /** Closes connections that are not needed; called now and then. */
+  trim(): void {
+    const now = this.clock.now();
+    const open = this.idle.length + this.busy.size;
+    let spare = open - 1;
+    for (const connection of [...this.idle]) {
+      const idleMs = now - connection.idleSince;
+      if (idleMs < SPARE_CLOSE_MS || (spare < 1 && idleMs < IDLE_CLOSE_MS)) continue;
+      spare -= 1;
+      connection.close();
+    }
+  }
+
+  /** @returns since when the member has owed an answer without giving any */
+  resolveSilence(now: Milliseconds): number {
+    let oldest: Milliseconds | undefined;
+    for (const connection of this.busy) {
+      const sentAt = connection.oldestSentAt;
+      if (sentAt !== undefined && (oldest === undefined || sentAt < oldest)) oldest = sentAt;
+    }
+    if (oldest === undefined) return 0;
+    return now - Math.max(oldest, this.lastAnswerAt);
+  }
+
+  /** Ends the pool; borrowed connections end when they are given back. */
+  close(): void {
+    this.isClosed = true;
+    clearTimeout(this.pumpTimer);
+    for (const connection of [...this.idle]) connection.close();
+    for (const waiter of this.waiters.splice(0)) this.refuse(waiter, 'closed');
+  }
+
+  onOpen(connection: MemberConnection): void {
+    this.listener.onConnection('opened');
+    this.lastAnswerAt = this.clock.now();
+    this.avoidUntil = toMilliseconds(0);
+    this.clearOpening(connection);
+    this.busy.add(connection);
+    this.release(connection);
+  }
+
+  onAnswer(_: MemberConnection, exchange: Extract<Exchange, { kind: 'answered' }>): void {
+    this.lastAnswerAt = this.clock.now();
+    this.listener.onAnswer(this.entry, exchange);
+  }
+
+  onClosed(connection: MemberConnection, error: WireError | undefined): void {
+    const wasOpening = this.clearOpening(connection);
+    this.busy.delete(connection);
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+    if (wasOpening) this.handleOpenFailure(error);
+    else this.pump();
+  }
+
+  private handleOpenFailure(error: WireError | undefined): void {
+    this.listener.onConnection('refused');
+    if (error?.code === 'connection-limit') {
+      this.pausedUntil = toMilliseconds(this.clock.now() + FULL_PAUSE_MS);
+      this.schedulePump(FULL_PAUSE_MS);
+      return;
+    }
+    this.avoidUntil = toMilliseconds(this.clock.now() + AVOID_MS);
+    this.listener.onUnreachable(this.entry, error?.text ?? 'the connection was closed');
+    const reason = error?.code === 'wrong-member' ? 'wrong-member' : 'unreachable';
+    for (const waiter of this.waiters.splice(0)) this.refuse(waiter, reason);
+  }
+
+  private takeIdle(
+    organisation: OrganisationId | undefined,
+    session: SessionState,
+  ): MemberConnection | undefined {
+    let best = -1;
+    for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.idle[index] as MemberConnection;
+      if (connection.organisation !== organisation) continue;
+      if (connection.hasValues(session)) {
+        best = index;
+        break;
+      }
+      if (best < 0) best = index;
+    }
+    if (best < 0) return undefined;
+    const [connection] = this.idle.splice(best, 1) as [MemberConnection];
+    this.busy.add(connection);
+    return connection;
+  }
+
+  /** Opens connections for those who wait, as far as limits allow. */
+  private pump(): void {
+    if (this.isClosed) return;
+    while (this.waiters.length > this.opening.size) {
+      const waiter = this.waiters[this.opening.size] as Waiter;
+      const connection = this.takeIdle(waiter.organisation, waiter.session);
+      if (connection !== undefined) {
+        this.waiters.splice(this.waiters.indexOf(waiter), 1);
+        this.give(connection, waiter);
+        continue;
+      }
+      if (this.clock.now() < this.pausedUntil) {
+        this.schedulePump(FULL_PAUSE_MS);
+        return;
+      }
+      if (this.size >= this.limits.most && !this.closeIdle()) return;
+      this.open(waiter.organisation);
+    }
+  }
+
+  private closeIdle(): boolean {
+    const [oldest] = this.idle;
+    if (oldest === undefined) return false;
+    oldest.close();
+    return true;
+  }
+
+  private open(organisation: OrganisationId | undefined): void {
+    const target = { entry: this.entry, group: this.entry.group, organisation };
+    const connection = new MemberConnection(this.connector, target, this, this.clock);
+    const timer = setTimeout(() => connection.destroy('not accepted in time'), OPEN_TIMEOUT_MS);
+    this.opening.set(connection, timer);
+  }
+
+  private clearOpening(connection: MemberConnection): boolean {
+    clearTimeout(this.opening.get(connection));
+    return this.opening.delete(connection);
+  }
+
+  private give(connection: MemberConnection, waiter: Waiter): void {
+    clearTimeout(waiter.timer);
+    this.busy.add(connection);
+    waiter.resolve({ kind: 'connection', connection });
+  }
+
+  private expire(waiter: Waiter): void {
+    const index = this.waiters.indexOf(waiter);
+    if (index < 0) return;
+    this.waiters.splice(index, 1);
+    this.refuse(waiter, 'timeout');
+  }
+
+  private refuse(waiter: Waiter, reason: AcquireFailure): void {
+    clearTimeout(waiter.timer);
+    waiter.resolve({ kind: 'refused', reason });
+  }
+
+  private schedulePump(ms: number): void {
+    this.pumpTimer ??= setTimeout(() => {
+      this.pumpTimer = undefined;
+      this.pump();
+    }, ms);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -0,0 +1,80 @@
+/** Metrics of one gateway, in Prometheus's form. */
+import { createServer, type Server } from 'node:http';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Bounds of the latency histogram, in seconds. */
+const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/** Counters and histograms; names are listed in docs/METRICS.md. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+
+  readonly statements = new Counter({
+    name: 'heatherledge_gateway_statements_total',
+    help: 'Statements by consistency of their route and outcome.',
+    labelNames: ['consistency', 'outcome'] as const,
+    registers: [this.registry],
+  });
+
+  readonly latencySeconds = new Histogram({
+    name: 'heatherledge_gateway_statement_seconds',
+    help: 'Time from a statement to its answer, in seconds.',
+    labelNames: ['consistency'] as const,
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly memberConnections = new Counter({
+    name: 'heatherledge_gateway_member_connections_total',
+    help: 'Connections opened to members, by outcome.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+
+  readonly primaryChanges = new Counter({
+    name: 'heatherledge_gateway_primary_changes_total',
+    help: 'Changes of primary that this instance carried out, by outcome.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+
+  readonly sessions = new Gauge({
+    name: 'heatherledge_gateway_sessions',
+    help: 'Callers connected.',
+    registers: [this.registry],
+  });
+
+  private server: Server | undefined;
+
+  /**
+   * Serves the metrics and a dump of the process's state.
+   *
+   * @param host - address to listen on
+   * @param port - port to listen on
+   * @param describe - tells the state of the process
+   */
+  async serve(host: string, port: number, describe: () => unknown): Promise<void> {
+    const server = createServer((request, response) => {
+      if (request.url === '/state') {
+        response.setHeader('content-type', 'application/json');
+        response.end(JSON.stringify(describe()));
+        return;
+      }
+      void this.registry.metrics().then((text) => {
+        response.setHeader('content-type', this.registry.contentType);
+        response.end(text);
+      });
+    });
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+  }
+
+  /** Stops listening. */
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -0,0 +1,360 @@
+/** One caller's session: takes its messages one by one and answers each. */
+import {
+  type Clock,
+  createKeyDigest,
+  type KeyDigest,
+  type Milliseconds,
+  type OrganisationId,
+  ProxyError,
+  type Route,
+} from '@heatherledge/core';
+import type { LimitsTask } from '@heatherledge/daemon';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { PreparedStatement } from '../members/member-connection.js';
+import type {
+  CallerChannel,
+  CallerHandler,
+  CallerMessage,
+  CallerStatement,
+  ErrorCode,
+  StatementReply,
+  TransactionState,
+  WireError,
+} from '../ports/caller-protocol.js';
+import { ReadExecutor } from './read-executor.js';
+import {
+  type CallerState,
+  createErrorReply,
+  createOwnReply,
+  type DataStatement,
+  type Grant,
+  type SessionServices,
+} from './session-context.js';
+import { Transaction } from './transaction.js';
+import { WriteExecutor } from './write-executor.js';
+
+/** Most messages of one caller that wait for their turn. */
+const MOST_QUEUED = 64;
+
+/** What a session needs beside the services of its parts. */
+export interface CallerSessionServices extends SessionServices {
+  readonly view: FleetView;
+  readonly limits: LimitsTask;
+  readonly onEnd: (session: CallerSession) => void;
+}
+
+interface QueuedMessage {
+  readonly message: CallerMessage;
+  readonly arrivedAt: Milliseconds;
+}
+
+type Query = Extract<CallerMessage, { kind: 'query' }>;
+
+/** Names that a statement of one shape bears at members, for all sessions alike. */
+function formatMemberName(access: string, shape: string): string {
+  return `${access}_${shape}`;
+}
+
+/** Owns one caller's connection and state. */
+export class CallerSession implements CallerHandler {
+  private readonly queue: QueuedMessage[] = [];
+
+  private isRunning = false;
+
+  private isClosed = false;
+
+  private isLeaving = false;
+
+  private hasAnswered = false;
+
+  private database: string | undefined;
+
+  private key: KeyDigest | undefined;
+
+  private readonly state: CallerState = {
+    values: new Map(),
+    prepared: new Map(),
+    marks: new Map(),
+  };
+
+  private transaction: Transaction | undefined;
+
+  private readonly reads: ReadExecutor;
+
+  private readonly writes: WriteExecutor;
+
+  private readonly clock: Clock;
+
+  constructor(
+    private readonly channel: CallerChannel,
+    private readonly services: CallerSessionServices,
+  ) {
+    this.clock = services.clock;
+    this.reads = new ReadExecutor(services);
+    this.writes = new WriteExecutor(services);
+  }
+
+  onMessage(message: CallerMessage): void {
+    if (this.isClosed) return;
+    this.queue.push({ message, arrivedAt: this.clock.now() });
+    if (this.queue.length > MOST_QUEUED) this.close();
+    if (!this.isRunning) void this.run();
+  }
+
+  onClosed(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.transaction?.rollback();
+    this.services.onEnd(this);
+  }
+
+  /**
+   * Closes the session as soon as it is outside a transaction and owes no answer.
+   *
+   * @param isNew - whether the caller has just come and is to be served once
+   */
+  leave(isNew: boolean): void {
+    this.isLeaving = true;
+    if (!isNew) this.hasAnswered = true;
+    this.closeIfIdle();
+  }
+
+  /** Rolls an open transaction back, so that the session can leave. */
+  abortTransaction(): void {
+    this.transaction?.abort('the instance is stopping');
+  }
+
+  private async run(): Promise<void> {
+    this.isRunning = true;
+    while (this.queue.length > 0 && !this.isClosed) {
+      await this.handle(this.queue.shift() as QueuedMessage);
+    }
+    this.isRunning = false;
+    this.closeIfIdle();
+  }
+
+  private closeIfIdle(): void {
+    if (!this.isLeaving || this.isClosed || this.isRunning || this.queue.length > 0) return;
+    if (this.transaction === undefined && this.hasAnswered) this.close();
+  }
+
+  private close(): void {
+    this.channel.close();
+    this.onClosed();
+  }
+
+  private async handle({ message, arrivedAt }: QueuedMessage): Promise<void> {
+    switch (message.kind) {
+      case 'start':
+        this.start(message.database, message.key);
+        return;
+      case 'query':
+        await this.handleQuery(message, arrivedAt);
+        return;
+      case 'terminate':
+        this.close();
+        return;
+      case 'malformed':
+        this.endWith({ code: 'malformed', text: message.reason });
+    }
+  }
+
+  private start(database: string, key: string | undefined): void {
+    if (this.database !== undefined) {
+      this.endWith({ code: 'malformed', text: 'the session has started already' });
+      return;
+    }
+    this.database = database;
+    this.key = key === undefined ? undefined : createKeyDigest(key);
+    const grant = this.resolveGrant();
+    if ('code' in grant) this.endWith(grant);
+    else this.channel.sendStarted(createOwnReply('idle'));
+  }
+
+  private endWith(error: WireError): void {
+    const { code, text } = error;
+    this.services.log.info('session.refused', { database: this.database, code, reason: text });
+    this.channel.sendFinalError(error);
+    this.onClosed();
+  }
+
+  private async handleQuery(query: Query, arrivedAt: Milliseconds): Promise<void> {
+    if (this.database === undefined) {
+      this.endWith({ code: 'malformed', text: 'the session has not started' });
+      return;
+    }
+    const reply = await this.resolveReply(query, arrivedAt);
+    if (this.isClosed) return;
+    this.note(query, reply, arrivedAt);
+    this.channel.sendReply(reply);
+    this.hasAnswered = true;
+  }
+
+  private async resolveReply(query: Query, arrivedAt: Milliseconds): Promise<StatementReply> {
+    const { statement, requestId } = query;
+    if (
+      this.transaction?.isFailed &&
+      statement.kind !== 'rollback' &&
+      statement.kind !== 'commit'
+    ) {
+      return this.transaction.reportFailure();
+    }
+    switch (statement.kind) {
+      case 'begin':
+        return this.begin(statement.readOnly, arrivedAt);
+      case 'commit':
+        return this.commit(requestId, statement.text, arrivedAt);
+      case 'rollback':
+        this.transaction?.rollback();
+        this.transaction = undefined;
+        return createOwnReply('idle');
+      case 'set':
+      case 'prepare':
+      case 'deallocate':
+        return this.changeState(statement);
+      case 'data': {
+        const { access, text } = statement;
+        return this.execute({ requestId, access, text, prepared: undefined, arrivedAt });
+      }
+      case 'execute':
+        return this.executePrepared(requestId, statement, arrivedAt);
+    }
+  }
+
+  private get transactionState(): TransactionState {
+    if (this.transaction === undefined) return 'idle';
+    return this.transaction.isFailed ? 'failed' : 'open';
+  }
+
+  private changeState(
+    statement: Extract<CallerStatement, { kind: 'set' | 'prepare' | 'deallocate' }>,
+  ): StatementReply {
+    const { prepared, values } = this.state;
+    if (statement.kind === 'set') values.set(statement.name, statement.value);
+    else if (statement.kind === 'prepare') prepared.set(statement.name, createPrepared(statement));
+    else if (!prepared.delete(statement.name)) {
+      return this.refuse('unknown-name', 'no prepared statement has this name');
+    }
+    return createOwnReply(this.transactionState);
+  }
+
+  private async executePrepared(
+    requestId: string,
+    statement: Extract<CallerStatement, { kind: 'execute' }>,
+    arrivedAt: Milliseconds,
+  ): Promise<StatementReply> {
+    const prepared = this.state.prepared.get(statement.name);
+    if (prepared === undefined) {
+      return this.refuse('unknown-name', 'no prepared statement has this name');
+    }
+    const text = `EXECUTE ${prepared.memberName} ${statement.args}`;
+    return this.execute({ requestId, access: prepared.access, text, prepared, arrivedAt });
+  }
+
+  private async execute(statement: DataStatement): Promise<StatementReply> {
+    if (this.transaction !== undefined) return this.transaction.execute(statement);
+    const grant = await this.admit();
+    if ('code' in grant) return createErrorReply(grant.code, grant.text, 'idle');
+    return statement.access === 'read'
+      ? this.reads.execute(grant, this.state, statement)
+      : this.writes.execute(grant, this.state, statement);
+  }
+
+  private async begin(readOnly: boolean, arrivedAt: Milliseconds): Promise<StatementReply> {
+    if (this.transaction !== undefined) {
+      return this.refuse('malformed', 'a transaction is open already');
+    }
+    const grant = await this.admit();
+    if ('code' in grant) return createErrorReply(grant.code, grant.text, 'idle');
+    if (this.isClosed) return createOwnReply('idle');
+    const idleMs = this.services.view.settings?.transactionIdleMs ?? grant.route.statementTimeoutMs;
+    this.transaction = new Transaction(
+      grant,
+      this.state,
+      readOnly,
+      arrivedAt,
+      this.services,
+      idleMs,
+    );
+    return createOwnReply('open');
+  }
+
+  private async commit(
+    requestId: string,
+    text: string,
+    arrivedAt: Milliseconds,
+  ): Promise<StatementReply> {
+    const { transaction } = this;
+    if (transaction === undefined) return this.refuse('malformed', 'no transaction is open');
+    const reply = await transaction.commit(requestId, text, arrivedAt);
+    this.transaction = undefined;
+    return reply;
+  }
+
+  private refuse(code: ErrorCode, text: string): StatementReply {
+    return createErrorReply(code, text, this.transactionState);
+  }
+
+  /** Checks the caller's right and takes one operation from its organisation's rate. */
+  private async admit(): Promise<Grant | WireError> {
+    const grant = this.resolveGrant();
+    if ('code' in grant || grant.organisation === undefined) return grant;
+    try {
+      await this.services.limits.admit(grant.organisation);
+    } catch (error) {
+      if (!(error instanceof ProxyError)) throw error;
+      return { code: 'busy', text: error.message };
+    }
+    const objection = this.services.judge.findObjection(grant);
+    return objection === undefined ? grant : { code: objection, text: 'the key is not valid' };
+  }
+
+  private resolveGrant(): Grant | WireError {
+    const { settings } = this.services.view;
+    const route = settings?.routesByDatabase.get(this.database ?? '');
+    if (settings === undefined) return { code: 'busy', text: 'the instance is starting' };
+    if (route === undefined) return { code: 'unknown-database', text: 'no such database' };
+    return this.resolveOrganisation(route, this.key && settings.organisationByKey.get(this.key));
+  }
+
+  private resolveOrganisation(
+    route: Route,
+    organisation: OrganisationId | undefined,
+  ): Grant | WireError {
+    if (organisation === undefined && !route.isPublic) {
+      return { code: 'key-rejected', text: 'the key is not valid' };
+    }
+    const grant = { route, organisation, key: this.key };
+    const objection = this.services.judge.findObjection(grant);
+    if (objection === undefined) return grant;
+    return { code: objection, text: 'this instance cannot check the key now' };
+  }
+
+  private note(query: Query, reply: StatementReply, arrivedAt: Milliseconds): void {
+    const { view, metrics, log, groups } = this.services;
+    const route = view.settings?.routesByDatabase.get(this.database ?? '');
+    const ms = Math.round(this.clock.now() - arrivedAt);
+    const outcome = reply.error?.code ?? 'served';
+    const consistency = route?.consistency ?? 'none';
+    metrics.statements.inc({ consistency, outcome });
+    metrics.latencySeconds.observe({ consistency }, ms / 1000);
+    const fields = {
+      request: query.requestId,
+      statement: query.statement.kind,
+      route: route?.name,
+      outcome,
+      ms,
+      settings: view.settings?.version,
+      confirmationAgeMs: Math.round(groups.confirmation.resolveAge(this.clock.now())),
+    };
+    if (reply.error === undefined) log.info('statement.served', fields);
+    else log.warn('statement.refused', { ...fields, reason: reply.error.text });
+  }
+}
+
+function createPrepared(
+  statement: Extract<CallerStatement, { kind: 'prepare' }>,
+): PreparedStatement {
+  const { access, shape } = statement;
+  return { memberName: formatMemberName(access, shape), access, shape };
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,18 +1,21 @@
 import { fileURLToPath } from 'node:url';
 import { defineConfig } from 'vitest/config';
 
-const PACKAGES = ['core', 'wire', 'stand-ins', 'daemon', 'cli', 'lab'];
+const PACKAGES = ['core', 'wire', 'stand-ins', 'daemon', 'gateway', 'cli', 'lab'];
 
 /** Tests run against the sources, so that they need no build. */
-const alias = PACKAGES.map((name) => ({
+const alias = [
+  ...PACKAGES.map((name) => ({ name, folder: `packages/${name}` })),
+  { name: 'platform', folder: 'platform' },
+].map(({ name, folder }) => ({
   find: `@heatherledge/${name}`,
-  replacement: fileURLToPath(new URL(`packages/${name}/src/index.ts`, import.meta.url)),
+  replacement: fileURLToPath(new URL(`${folder}/src/index.ts`, import.meta.url)),
 }));
 
 export default defineConfig({
   resolve: { alias },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     pool: 'forks',
