Close idle member connections where they are scarce

Cause: nine instances kept idle connections of one organisation each, and members refused 4523 of 6945 new connections over their cap of 16. Change: after a refusal over the cap, an instance closes what it does not use.

--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -29,8 +29,10 @@
 const IDLE_CLOSE_MS = 8000;
 /** An idle connection beyond the first is closed after this. */
 const SPARE_CLOSE_MS = 1500;
-/** Pause after a member had no connection left. */
-const FULL_PAUSE_MS = 25;
+/** Pause after a member had no connection left; about as long as a short statement takes. */
+const FULL_PAUSE_MS = 15;
+/** A member that had no connection left is taken for crowded for this long. */
+const CROWDED_MS = 5000;
 /** How long a member is avoided after it could not be reached. */
 const AVOID_MS = 600;
 
@@ -72,6 +74,8 @@
   /** When the member last answered anything. */
   lastAnswerAt: Milliseconds;
 
+  private crowdedUntil: Milliseconds = toMilliseconds(0);
+
   private pausedUntil: Milliseconds = toMilliseconds(0);
 
   private pumpTimer: NodeJS.Timeout | undefined;
@@ -140,7 +144,9 @@
       this.give(connection, this.waiters.splice(index, 1)[0] as Waiter);
       return;
     }
-    this.idle.push(connection);
+    // Where connections are scarce, one that idles here is missing at another instance.
+    if (this.clock.now() < this.crowdedUntil) connection.close();
+    else this.idle.push(connection);
     if (this.waiters.length > 0) this.pump();
   }
 
@@ -207,7 +213,10 @@
   private handleOpenFailure(error: WireError | undefined): void {
     this.listener.onConnection('refused');
     if (error?.code === 'connection-limit') {
-      this.pausedUntil = toMilliseconds(this.clock.now() + FULL_PAUSE_MS);
+      const now = this.clock.now();
+      this.pausedUntil = toMilliseconds(now + FULL_PAUSE_MS);
+      this.crowdedUntil = toMilliseconds(now + CROWDED_MS);
+      for (const connection of [...this.idle]) connection.close();
       this.schedulePump(FULL_PAUSE_MS);
       return;
     }
