--- a/packages/core/src/failover/promotion-plan.ts
+++ b/packages/core/src/failover/promotion-plan.ts
@@ -36,8 +36,9 @@
   syncReplicas: number,
 ): PromotionPlan {
   const floor = resolveSafePlace(members, syncReplicas);
-  if (floor === undefined)
-    {return { kind: 'wait', reason: 'a member that may hold commits is out of reach' };}
+  if (floor === undefined) {
+    return { kind: 'wait', reason: 'a member that may hold commits is out of reach' };
+  }
   const able = members.filter(
     ({ received, isDraining }) =>
       !isDraining && received !== undefined && compareMarks(received, floor) >= 0,
--- a/packages/core/src/limits/loan-desk.ts
+++ b/packages/core/src/limits/loan-desk.ts
@@ -88,13 +88,15 @@
    * @param self - this instance
    * @param organisation - whose requests these are
    * @param rules - how to deal with a lack of tokens
+   * @param filledSince - moment from which the own part has filled up unused, if known
    */
   constructor(
     private readonly self: InstanceId,
     private readonly organisation: OrganisationId,
     private readonly rules: DeskRules,
+    filledSince?: Milliseconds,
   ) {
-    this.limiter = new OrganisationLimiter(rules.loans);
+    this.limiter = new OrganisationLimiter(rules.loans, filledSince);
   }
 
   /**
--- a/packages/core/src/limits/organisation-limiter.ts
+++ b/packages/core/src/limits/organisation-limiter.ts
@@ -30,7 +30,7 @@
 
 /** Decisions for one organisation at one instance. */
 export class OrganisationLimiter {
-  private readonly slice = new TokenSlice();
+  private readonly slice: TokenSlice;
 
   private readonly wallet = new LoanWallet();
 
@@ -38,8 +38,16 @@
 
   private demandAt: Milliseconds | undefined;
 
-  /** @param timings - periods of lending */
-  constructor(private readonly timings: LoanTimings) {}
+  /**
+   * @param timings - periods of lending
+   * @param filledSince - moment from which the own part has filled up unused, if known
+   */
+  constructor(
+    private readonly timings: LoanTimings,
+    filledSince?: Milliseconds,
+  ) {
+    this.slice = new TokenSlice(filledSince);
+  }
 
   /**
    * @param ratePerSecond - this instance's part of the rate
--- a/packages/core/src/limits/token-slice.ts
+++ b/packages/core/src/limits/token-slice.ts
@@ -42,6 +42,12 @@
 
   private readonly loans = new Map<LoanId, OpenLoan>();
 
+  /**
+   * @param filledSince - moment from which the first part held has filled up unused, if known: an
+   * instance that has just started knows that it has spent nothing since
+   */
+  constructor(private readonly filledSince?: Milliseconds) {}
+
   /**
    * Sets the part held; tokens above the new burst are dropped, none are added.
    *
@@ -50,9 +56,11 @@
    * @param now - present moment
    */
   resize(ratePerSecond: number, burst: number, now: Milliseconds): void {
+    const isFirst = this.updatedAt === undefined;
     this.refill(now);
     this.ratePerMs = ratePerSecond / 1000;
     this.burst = burst;
+    if (isFirst) this.tokens = this.ratePerMs * Math.max(0, now - (this.filledSince ?? now));
     this.tokens = Math.min(this.tokens, Math.max(0, this.capacity));
   }
 
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -10,6 +10,7 @@
   type LoanId,
   type LoanOffer,
   type LoanQuestion,
+  type Milliseconds,
   type OrganisationId,
   ProxyError,
   rateExceeded,
@@ -73,6 +74,7 @@
     private readonly self: InstanceId,
     private readonly hub: PeerHub,
     private readonly clock: Clock,
+    private readonly filledSince?: Milliseconds,
   ) {
     hub.handle('loan.ask', (body) => this.answerAsk(body));
     hub.handle('loan.settle', (body) => this.takeSettlement(body));
@@ -127,7 +129,7 @@
   private resolve(organisation: OrganisationId): OrganisationDesk {
     let entry = this.desks.get(organisation);
     if (entry === undefined) {
-      const desk = new LoanDesk(this.self, organisation, DEFAULT_DESK_RULES);
+      const desk = new LoanDesk(this.self, organisation, DEFAULT_DESK_RULES, this.filledSince);
       entry = { desk, waiters: new Map() };
       this.desks.set(organisation, entry);
       this.resize(organisation, desk);
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -188,8 +188,9 @@
         const isOld = entry.id === wasPrimary;
         if (isOld) return this.toFenced(entry, true, isReplaced ? stepped.received : undefined);
         const status = statuses[index];
-        if (isReplaced || status === undefined)
-          {return this.toFenced(entry, false, status?.received);}
+        if (isReplaced || status === undefined) {
+          return this.toFenced(entry, false, status?.received);
+        }
         const paused = await this.pause(entry, term);
         return this.toFenced(entry, false, paused);
       }),
--- a/packages/gateway/src/fleet/fleet-task.ts
+++ b/packages/gateway/src/fleet/fleet-task.ts
@@ -25,6 +25,9 @@
 
   private hasStore = false;
 
+  /** Whether the store listed this instance already when the process started. */
+  hasEarlierRecord = false;
+
   constructor(
     private readonly self: InstanceId,
     private readonly record: InstanceRecord,
@@ -38,7 +41,8 @@
   /** Reads the store and registers, trying until it works, then keeps watching. */
   async start(): Promise<void> {
     while (!this.stopped && !(await this.load())) await this.pause();
-    while (!this.stopped && !(await this.register())) await this.pause();
+    this.hasEarlierRecord = this.isRegistered;
+    while (!this.stopped && !this.isRegistered && !(await this.register())) await this.pause();
     void this.runWatch();
     void this.runConfirmations();
   }
@@ -67,7 +71,13 @@
     return true;
   }
 
-  /** Writes this instance's record over that of its earlier life. */
+  private get isRegistered(): boolean {
+    const known = this.view.instances.get(this.self)?.value;
+    const { host, peerPort, domain } = this.record;
+    return known?.host === host && known.peerPort === peerPort && known.domain === domain;
+  }
+
+  /** Writes this instance's record, over that of an earlier life at another address. */
   private async register(): Promise<boolean> {
     const key = formatInstanceKey(this.self);
     const put = { key, value: encodeRecord(this.record), lease: undefined };
--- a/packages/gateway/src/fleet/fleet-view.ts
+++ b/packages/gateway/src/fleet/fleet-view.ts
@@ -7,6 +7,7 @@
   MemberEntry,
   MemberId,
 } from '@heatherledge/core';
+import { delay } from '@heatherledge/daemon';
 import type { StoreEvent, StoreItem, StoreRevision } from '../ports/control-store.js';
 import type { FleetDirectory } from '../ports/fleet-directory.js';
 import type { EventLog } from '../runtime/event-log.js';
@@ -52,6 +53,12 @@
 
   private settingsRevision = NOTHING;
 
+  private noteFirstSettings: () => void = () => {};
+
+  private readonly firstSettings = new Promise<void>((resolve) => {
+    this.noteFirstSettings = resolve;
+  });
+
   private readonly listeners: ((change: ViewChange) => void)[] = [];
 
   constructor(
@@ -60,6 +67,16 @@
     private readonly log: EventLog,
   ) {}
 
+  /**
+   * Waits until the settings are known for the first time.
+   *
+   * @param waitMs - longest wait, in milliseconds
+   */
+  async waitForSettings(waitMs: number): Promise<void> {
+    if (this.settings !== undefined) return;
+    await Promise.race([delay(waitMs), this.firstSettings]);
+  }
+
   /** @param listener - called after each change */
   onChange(listener: (change: ViewChange) => void): void {
     this.listeners.push(listener);
@@ -175,6 +192,7 @@
     this.settingsRevision = revision;
     if (this.settings !== undefined && decoded.value.version <= this.settings.version) return;
     this.settings = decoded.value;
+    this.noteFirstSettings();
     this.log.info('settings.applied', {
       version: decoded.value.version,
       revision,
--- a/packages/gateway/src/fleet/share-book.ts
+++ b/packages/gateway/src/fleet/share-book.ts
@@ -16,6 +16,8 @@
 
   private joinedAt: Milliseconds | undefined;
 
+  private hasInherited = false;
+
   private known: { readonly names: string; readonly knowledge: SlotKnowledge } | undefined;
 
   /**
@@ -49,13 +51,18 @@
     return knowledge;
   }
 
-  /** A record that was written over an earlier one keeps its part; the others have counted it. */
+  /** Keeps the part of the process's earlier life, which the others have counted all the while. */
+  inherit(): void {
+    this.hasInherited = true;
+  }
+
   private mayUsePart(own: Stored<InstanceRecord> | undefined, now: Milliseconds): boolean {
     if (own === undefined) {
       this.joinedAt = undefined;
+      this.hasInherited = false;
       return false;
     }
-    if (own.revision !== own.createdRevision) return true;
+    if (this.hasInherited) return true;
     this.joinedAt ??= now;
     return now - this.joinedAt > this.settleMs;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,7 +90,7 @@
     this.groups = new GroupsTask(settings, this.view, members, clock, this.metrics, log);
     const identity = { self: instance, secret: PEER_SECRET };
     this.hub = new PeerHub(identity, (id) => this.resolvePeer(id));
-    this.limits = new LimitsTask(instance, this.hub, clock);
+    this.limits = new LimitsTask(instance, this.hub, clock, PROCESS_START);
     const record = { host, peerPort, domain: failureDomain };
     this.fleet = new FleetTask(instance, record, store, this.view, clock, this.random, log);
     this.lease = new CoordinatorLease(instance, store, this.view, clock, this.random, log);
@@ -135,6 +135,8 @@
     await ports.callers.start((channel) => this.sessions.accept(channel));
     this.groups.start();
     await this.fleet.start();
+    if (this.fleet.hasEarlierRecord) this.shares.inherit();
+    this.updateLimits();
     this.lease.start();
     this.coordinator.start();
     this.sharesTimer = setInterval(() => this.updateLimits(), SHARES_EVERY_MS);
@@ -206,5 +208,7 @@
   }
 }
 
+/** The process's clock counts from its start; nothing was admitted before. */
+const PROCESS_START = toMilliseconds(0);
 /** How often shares of rates are worked out anew; they also change with the instances. */
 const SHARES_EVERY_MS = 500;
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -205,7 +205,8 @@
   }
 
   private failCommands(reason: string): void {
-    for (const command of this.commands.splice(0))
-      {command.resolve({ kind: 'lost', reason, wasSent: true });}
+    for (const command of this.commands.splice(0)) {
+      command.resolve({ kind: 'lost', reason, wasSent: true });
+    }
   }
 }
--- a/packages/gateway/src/runtime/event-log.ts
+++ b/packages/gateway/src/runtime/event-log.ts
@@ -46,8 +46,9 @@
       this.counts.set(event, count);
     }
     if (now - count.startedAt >= PERIOD_MS) {
-      if (count.dropped > 0)
-        {this.logger.warn({ event: 'log.dropped', of: event, lines: count.dropped });}
+      if (count.dropped > 0) {
+        this.logger.warn({ event: 'log.dropped', of: event, lines: count.dropped });
+      }
       Object.assign(count, { startedAt: now, lines: 0, dropped: 0 });
     }
     if (count.lines >= LINES_PER_PERIOD) {
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -33,6 +33,8 @@
 import { Transaction } from './transaction.js';
 import { WriteExecutor } from './write-executor.js';
 
+/** Callers give up a session that does not start within 2 s. */
+const START_WAIT_MS = 1500;
 /** Most messages of one caller that wait for their turn. */
 const MOST_QUEUED = 64;
 
@@ -146,7 +148,7 @@
   private async handle({ message, arrivedAt }: QueuedMessage): Promise<void> {
     switch (message.kind) {
       case 'start':
-        this.start(message.database, message.key);
+        await this.start(message.database, message.key);
         return;
       case 'query':
         await this.handleQuery(message, arrivedAt);
@@ -159,13 +161,16 @@
     }
   }
 
-  private start(database: string, key: string | undefined): void {
+  private async start(database: string, key: string | undefined): Promise<void> {
     if (this.database !== undefined) {
       this.endWith({ code: 'malformed', text: 'the session has started already' });
       return;
     }
     this.database = database;
     this.key = key === undefined ? undefined : createKeyDigest(key);
+    // An instance that has just started serves soon; a refusal would cost the caller far longer.
+    await this.services.view.waitForSettings(START_WAIT_MS);
+    if (this.isClosed) return;
     const grant = this.resolveGrant();
     if ('code' in grant) this.endWith(grant);
     else this.channel.sendStarted(createOwnReply('idle'));
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -133,12 +133,14 @@
   private findObjection(placement: ReadPlacement, grant: Grant): Attempt | undefined {
     const { groups, judge, clock } = this.services;
     const code = judge.findObjection(grant);
-    if (code !== undefined)
-      {return { kind: 'final', code, text: 'the key is not known to be valid' };}
+    if (code !== undefined) {
+      return { kind: 'final', code, text: 'the key is not known to be valid' };
+    }
     if (placement.waitFor !== undefined) return undefined;
     const isPrimary = groups.findPrimary(grant.route.group) === placement.member;
-    if (isPrimary && groups.confirmation.mayTrustPrimary(toMilliseconds(clock.now())))
-      {return undefined;}
+    if (isPrimary && groups.confirmation.mayTrustPrimary(toMilliseconds(clock.now()))) {
+      return undefined;
+    }
     return { kind: 'retry', code: 'busy', text: 'the primary is changing' };
   }
 
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -80,7 +80,7 @@
   async execute(statement: DataStatement): Promise<StatementReply> {
     clearTimeout(this.idleTimer);
     await this.opening;
-    if (this.place === undefined) return this.reportFailure();
+    if (this.place === undefined || this.isEnded) return this.reportFailure();
     const deadline = statement.arrivedAt + this.grant.route.statementTimeoutMs;
     if (statement.access === 'write') this.hasWritten = true;
     const reply = await this.exchange(statement, deadline);
@@ -232,6 +232,8 @@
     const { clock, judge } = this.services;
     const { connection } = this.place as Place;
     for (;;) {
+      // A caller may leave during a pause; the connection then belongs to others.
+      if (this.isEnded) return this.fail('aborted', 'the transaction was rolled back');
       const objection = judge.findObjection(this.grant);
       if (objection !== undefined) return this.fail(objection, 'the key is not known to be valid');
       const { requestId, text, prepared } = statement;
