Open at most two connections to a member at once, and pass reads to a home

Ruled out: leaked connections (the pools' state showed 0 to 7 borrowed). Change: two openings a pool; reads go to the instance near the member that keeps the organisation's connection; a lagging replica is asked again after a pause that doubles.

--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -34,6 +34,7 @@
 }
 
 interface Question {
+  readonly to: InstanceId;
   readonly resolve: (body: PeerBody | undefined) => void;
   readonly timer: NodeJS.Timeout;
 }
@@ -145,7 +146,7 @@
     this.nextQuestion += 1;
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.giveUp(ask, to), timeoutMs);
-      this.questions.set(ask, { resolve, timer });
+      this.questions.set(ask, { to, resolve, timer });
       if (!this.post(to, { ask, body })) this.settle(ask, undefined);
     });
   }
@@ -175,7 +176,12 @@
     this.counts.bytesSent += link.bytesSent;
     this.counts.bytesReceived += link.bytesReceived;
     this.accepted.delete(link);
-    for (const [id, use] of this.links) if (use.link === link) this.links.delete(id);
+    for (const [id, use] of this.links) {
+      if (use.link !== link) continue;
+      this.links.delete(id);
+      // Nothing that was asked over this link can be answered any more.
+      for (const [ask, { to }] of this.questions) if (to === id) this.settle(ask, undefined);
+    }
   }
 
   /** @returns bytes sent and received so far, open links included */
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -28,6 +28,27 @@
 
 const settingsChange = z.object({ path: z.string(), value: z.unknown().optional() });
 
+const logMark = z.object({ term: z.number(), position: z.number() });
+
+const wireError = z.object({
+  code: z.enum([
+    'busy',
+    'aborted',
+    'lagging',
+    'read-only',
+    'wrong-member',
+    'connection-limit',
+    'unknown-name',
+    'malformed',
+    'unknown-database',
+    'key-rejected',
+    'failed',
+    'timeout',
+    'in-doubt',
+  ]),
+  text: z.string(),
+});
+
 /** Everything that one instance may say to another. */
 export const peerBodySchema = z.discriminatedUnion('kind', [
   /** Asks for settings newer than a revision, and how current the peer's are. */
@@ -102,6 +123,27 @@
   z.object({ kind: z.literal('primary.suspend'), group: z.string(), epoch: z.number() }),
   /** Tells the instance that changes primaries of one that does not answer. */
   z.object({ kind: z.literal('primary.suspect'), group: z.string(), member: z.string() }),
+  /** Asks to run a read at a member to which the other instance keeps a fitting connection. */
+  z.object({
+    kind: z.literal('read.run'),
+    member: z.string(),
+    organisation: z.string(),
+    request: z.string(),
+    text: z.string(),
+    prepared: z.object({ name: z.string(), shape: z.string() }).optional(),
+    /** Place that a replica's log must hold; left out at the primary. */
+    waitFor: logMark.optional(),
+    values: z.array(z.tuple([z.string(), z.string()])),
+    timeoutMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal('read.ran'),
+    rows: z.array(z.string()),
+    signature: z.string().optional(),
+    error: wireError.optional(),
+    state: z.enum(['idle', 'open', 'failed']),
+    mark: logMark.optional(),
+  }),
   z.object({ kind: z.literal('done') }),
 ]);
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,8 @@
 import { FleetView } from './fleet/fleet-view.js';
 import { ShareBook } from './fleet/share-book.js';
 import { GroupsTask } from './members/groups-task.js';
+import { HomeDirectory } from './members/home-directory.js';
+import { PeerReads } from './members/peer-reads.js';
 import type { CallerListener } from './ports/caller-protocol.js';
 import type { ControlStore } from './ports/control-store.js';
 import type { FleetDirectory, PromotionPort } from './ports/fleet-directory.js';
@@ -87,7 +89,8 @@
     });
     const { store, directory, promotions, members } = ports;
     this.view = new FleetView(directory, confirmation, log);
-    this.groups = new GroupsTask(settings, this.view, members, clock, this.metrics, log);
+    const homes = new HomeDirectory(instance, this.view, clock);
+    this.groups = new GroupsTask(settings, this.view, members, homes, clock, this.metrics, log);
     const identity = { self: instance, secret: PEER_SECRET };
     this.hub = new PeerHub(identity, (id) => this.resolvePeer(id));
     this.limits = new LimitsTask(instance, this.hub, clock, PROCESS_START);
@@ -116,6 +119,7 @@
     this.sessions = new SessionsTask({
       clock,
       groups: this.groups,
+      peerReads: new PeerReads(this.hub, this.groups, homes),
       judge: new SettingsGrantJudge(this.view, clock),
       metrics: this.metrics,
       log,
--- a/packages/gateway/src/members/groups-task.ts
+++ b/packages/gateway/src/members/groups-task.ts
@@ -8,6 +8,7 @@
   type MemberEntry,
   type MemberId,
   type Milliseconds,
+  type OrganisationId,
   type ReaderState,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -18,6 +19,7 @@
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
 import type { Exchange } from './member-connection.js';
+import type { HomeDirectory } from './home-directory.js';
 import { MemberPool, type PoolListener } from './member-pool.js';
 
 /** Requests that may wait for connections to one member. */
@@ -28,8 +30,10 @@
 const UNEVEN_USE_FACTOR = 2;
 /** How often connections that are not needed are closed. */
 const TRIM_EVERY_MS = 500;
-/** How long a replica is taken for lagging after it refused a read. */
+/** How long a replica is taken for lagging after it refused a read; doubles with each refusal. */
 const LAGGING_MS = 150;
+/** Longest time for which a replica is not asked again. */
+const MOST_LAGGING_MS = 1200;
 
 interface MemberState {
   readonly entry: MemberEntry;
@@ -38,6 +42,8 @@
   seen: LogMark | undefined;
   seenAt: Milliseconds;
   laggingUntil: Milliseconds;
+  /** Refusals in a row. */
+  lagCount: number;
 }
 
 /** Owns the pools and what their answers tell. */
@@ -57,6 +63,7 @@
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
     private readonly connector: MemberConnector,
+    private readonly homes: HomeDirectory,
     private readonly clock: Clock,
     private readonly metrics: GatewayMetrics,
     private readonly log: EventLog,
@@ -138,6 +145,23 @@
     return this.states.get(member)?.pool;
   }
 
+  /** @returns a member's entry, if it is listed */
+  findEntry(member: MemberId): MemberEntry | undefined {
+    return this.states.get(member)?.entry;
+  }
+
+  /** @returns the present moment */
+  now(): Milliseconds {
+    return this.clock.now();
+  }
+
+  /** @returns whether a member surely is the only primary, so that its reads miss no commit */
+  mayReadLatestAt(member: MemberId): boolean {
+    const entry = this.findEntry(member);
+    if (entry === undefined || this.findPrimary(entry.group) !== member) return false;
+    return this.view.confirmation.mayTrustPrimary(this.clock.now());
+  }
+
   /** @returns the newest sample of the primary's log */
   findSample(group: GroupId): LogSample | undefined {
     return this.samples.get(group);
@@ -177,13 +201,19 @@
   /** Takes note that a replica's log lacked what a read had to see. */
   noteLagging(member: MemberId): void {
     const state = this.states.get(member);
-    if (state !== undefined) state.laggingUntil = toMilliseconds(this.clock.now() + LAGGING_MS);
+    const now = this.clock.now();
+    // Reads that were under way together are refused together; they count once.
+    if (state === undefined || state.laggingUntil > now) return;
+    const pauseMs = Math.min(MOST_LAGGING_MS, LAGGING_MS * 2 ** state.lagCount);
+    state.lagCount += 1;
+    state.laggingUntil = toMilliseconds(now + pauseMs);
   }
 
   onAnswer(entry: MemberEntry, exchange: Extract<Exchange, { kind: 'answered' }>): void {
     const { mark } = exchange.reply;
     const state = this.states.get(entry.id);
     if (mark === undefined || state === undefined) return;
+    if (exchange.reply.signature !== undefined) state.lagCount = 0;
     state.seen = mark;
     state.seenAt = this.clock.now();
     this.noteSample(entry, mark, exchange.sentAt);
@@ -244,7 +274,10 @@
     const group = this.view.settings?.groups.get(entry.group);
     const known = this.states.get(entry.id);
     const even = (group?.maxConnections ?? 0) / Math.max(1, this.view.instances.size);
-    const most = Math.max(FEWEST_CONNECTIONS, Math.floor(even * UNEVEN_USE_FACTOR));
+    const most = Math.max(
+      FEWEST_CONNECTIONS + this.homes.countHomed(entry),
+      Math.floor(even * UNEVEN_USE_FACTOR),
+    );
     if (known !== undefined) {
       known.limits.most = most;
       this.states.set(entry.id, Object.assign(known, { entry }));
@@ -252,10 +285,20 @@
     }
     if (group === undefined) return;
     const limits = { most, mostWaiting: MOST_WAITING };
-    const pool = new MemberPool(entry, this.connector, limits, this, this.clock);
+    const isHome = (organisation: OrganisationId | undefined): boolean =>
+      this.homes.isHome(entry, organisation);
+    const pool = new MemberPool(entry, this.connector, limits, this, this.clock, isHome);
     const now = this.clock.now();
     const laggingUntil = toMilliseconds(0);
-    this.states.set(entry.id, { entry, pool, limits, seen: undefined, seenAt: now, laggingUntil });
+    this.states.set(entry.id, {
+      entry,
+      pool,
+      limits,
+      seen: undefined,
+      seenAt: now,
+      laggingUntil,
+      lagCount: 0,
+    });
   }
 
   private wakeWaiters(): void {
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -25,12 +25,19 @@
 
 /** Time for a connection to open: a round trip between regions, the handshake, a short queue. */
 const OPEN_TIMEOUT_MS = 500;
+/**
+ * Connections that are opened at once. Each takes 12 ms of one of the member's two slots: with more
+ * at once from every instance, a crowded member would do little else.
+ */
+const MOST_OPENING = 2;
 /** A connection that is not used is closed after this, so that others may have its place. */
 const IDLE_CLOSE_MS = 8000;
 /** An idle connection beyond the first is closed after this. */
 const SPARE_CLOSE_MS = 1500;
 /** Pause after a member had no connection left; about as long as a short statement takes. */
 const FULL_PAUSE_MS = 15;
+/** Others may be served first for this long, where that saves a new connection. */
+const LONGEST_PASSED_OVER_MS = 100;
 /** A member that had no connection left is taken for crowded for this long. */
 const CROWDED_MS = 5000;
 /** How long a member is avoided after it could not be reached. */
@@ -56,6 +63,7 @@
   readonly session: SessionState;
   readonly resolve: (acquired: Acquired) => void;
   readonly timer: NodeJS.Timeout;
+  readonly since: Milliseconds;
 }
 
 /** Lends connections, one borrower at a time, and reuses them only within one organisation. */
@@ -82,12 +90,16 @@
 
   private isClosed = false;
 
+  /** Closing a connection reports back at once, while those who wait are being served. */
+  private isPumping = false;
+
   constructor(
     private readonly entry: MemberEntry,
     private readonly connector: MemberConnector,
     private readonly limits: PoolLimits,
     private readonly listener: PoolListener,
     private readonly clock: Clock,
+    private readonly isHome: (organisation: OrganisationId | undefined) => boolean,
   ) {
     this.lastAnswerAt = clock.now();
   }
@@ -102,6 +114,11 @@
     return this.idle.length + this.busy.size + this.opening.size;
   }
 
+  /** @returns whether a connection for an organisation is free */
+  hasIdle(organisation: OrganisationId | undefined): boolean {
+    return this.idle.some((connection) => connection.organisation === organisation);
+  }
+
   /**
    * Borrows a connection.
    *
@@ -122,7 +139,8 @@
     }
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.expire(waiter), Math.max(1, waitMs));
-      const waiter = { organisation, session, resolve, timer };
+      const since = this.clock.now();
+      const waiter = { organisation, session, resolve, timer, since };
       this.waiters.push(waiter);
       this.pump();
     });
@@ -137,15 +155,13 @@
     if (connection.transactionState !== 'idle') connection.destroy('left inside a transaction');
     if (!this.busy.delete(connection) || connection.isClosed) return;
     connection.idleSince = this.clock.now();
-    const index = this.waiters.findIndex(
-      ({ organisation }) => organisation === connection.organisation,
-    );
-    if (index === 0 || (index > 0 && this.waiters.length < this.limits.most)) {
+    const index = this.findNextWaiter(connection.organisation);
+    if (index >= 0) {
       this.give(connection, this.waiters.splice(index, 1)[0] as Waiter);
       return;
     }
     // Where connections are scarce, one that idles here is missing at another instance.
-    if (this.clock.now() < this.crowdedUntil) connection.close();
+    if (this.isCrowded && !this.mayStayIdle(connection)) connection.close();
     else this.idle.push(connection);
     if (this.waiters.length > 0) this.pump();
   }
@@ -162,7 +178,8 @@
     let spare = open - 1;
     for (const connection of [...this.idle]) {
       const idleMs = now - connection.idleSince;
-      if (idleMs < SPARE_CLOSE_MS || (spare < 1 && idleMs < IDLE_CLOSE_MS)) continue;
+      const mayStay = spare < 1 || this.mayStayIdle(connection);
+      if (idleMs < (mayStay ? IDLE_CLOSE_MS : SPARE_CLOSE_MS)) continue;
       spare -= 1;
       connection.close();
     }
@@ -210,13 +227,39 @@
     else this.pump();
   }
 
+  private get isCrowded(): boolean {
+    return this.clock.now() < this.crowdedUntil;
+  }
+
+  /** One connection stays for each organisation whose reads other instances pass here. */
+  private mayStayIdle(connection: MemberConnection): boolean {
+    const { organisation } = connection;
+    const others = this.idle.filter((other) => other !== connection);
+    return (
+      this.isHome(organisation) && others.every((other) => other.organisation !== organisation)
+    );
+  }
+
+  /**
+   * A connection goes to the first who waits for its organisation, past others that would need a
+   * new one, unless the first of all has waited for long.
+   */
+  private findNextWaiter(organisation: OrganisationId | undefined): number {
+    const index = this.waiters.findIndex((waiter) => waiter.organisation === organisation);
+    const first = this.waiters[0];
+    if (index <= 0 || first === undefined) return index;
+    return this.clock.now() - first.since < LONGEST_PASSED_OVER_MS ? index : -1;
+  }
+
   private handleOpenFailure(error: WireError | undefined): void {
     this.listener.onConnection('refused');
     if (error?.code === 'connection-limit') {
       const now = this.clock.now();
       this.pausedUntil = toMilliseconds(now + FULL_PAUSE_MS);
       this.crowdedUntil = toMilliseconds(now + CROWDED_MS);
-      for (const connection of [...this.idle]) connection.close();
+      for (const connection of [...this.idle]) {
+        if (!this.mayStayIdle(connection)) connection.close();
+      }
       this.schedulePump(FULL_PAUSE_MS);
       return;
     }
@@ -248,7 +291,13 @@
 
   /** Opens connections for those who wait, as far as limits allow. */
   private pump(): void {
-    if (this.isClosed) return;
+    if (this.isClosed || this.isPumping) return;
+    this.isPumping = true;
+    this.serveWaiters();
+    this.isPumping = false;
+  }
+
+  private serveWaiters(): void {
     while (this.waiters.length > this.opening.size) {
       const waiter = this.waiters[this.opening.size] as Waiter;
       const connection = this.takeIdle(waiter.organisation, waiter.session);
@@ -257,6 +306,7 @@
         this.give(connection, waiter);
         continue;
       }
+      if (this.opening.size >= MOST_OPENING) return;
       if (this.clock.now() < this.pausedUntil) {
         this.schedulePump(FULL_PAUSE_MS);
         return;
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -193,6 +193,12 @@
     this.note(query, reply, arrivedAt);
     this.channel.sendReply(reply);
     this.hasAnswered = true;
+    // Another instance may still reach the store; callers without a transaction had better go there.
+    if (reply.error !== undefined && this.isCutOff && this.transaction === undefined) this.close();
+  }
+
+  private get isCutOff(): boolean {
+    return !this.services.groups.confirmation.mayServeKeys(this.clock.now());
   }
 
   private async resolveReply(query: Query, arrivedAt: Milliseconds): Promise<StatementReply> {
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -108,6 +108,20 @@
     const { clock, groups } = this.services;
     const pool = groups.findPool(placement.member);
     if (pool === undefined) return { kind: 'retry', code: 'busy', text: 'the member has left' };
+    const early = this.findObjection(placement, grant);
+    if (early !== undefined) return early;
+    if (!pool.hasIdle(grant.organisation)) {
+      const remainingMs = deadline - clock.now();
+      const { organisation } = grant;
+      const passed = await this.services.peerReads.run(
+        placement,
+        organisation,
+        state,
+        statement,
+        remainingMs,
+      );
+      if (passed !== undefined) return this.judgeExchange(passed, placement.member);
+    }
     const acquired = await pool.acquire(grant.organisation, state, deadline - clock.now());
     if (acquired.kind === 'refused') {
       return { kind: 'retry', code: 'busy', text: `no connection: ${acquired.reason}` };
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -10,6 +10,7 @@
 } from '@heatherledge/core';
 import type { PreparedStatement, SessionState } from '../members/member-connection.js';
 import type { GroupsTask } from '../members/groups-task.js';
+import type { PeerReads } from '../members/peer-reads.js';
 import type { ErrorCode, StatementReply, TransactionState } from '../ports/caller-protocol.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
@@ -50,6 +51,7 @@
 export interface SessionServices {
   readonly clock: Clock;
   readonly groups: GroupsTask;
+  readonly peerReads: PeerReads;
   readonly judge: GrantJudge;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
