--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -74,6 +74,7 @@
     private readonly self: InstanceId,
     private readonly hub: PeerHub,
     private readonly clock: Clock,
+    private readonly rules: DeskRules = DEFAULT_DESK_RULES,
     private readonly filledSince?: Milliseconds,
   ) {
     hub.handle('loan.ask', (body) => this.answerAsk(body));
@@ -129,7 +130,7 @@
   private resolve(organisation: OrganisationId): OrganisationDesk {
     let entry = this.desks.get(organisation);
     if (entry === undefined) {
-      const desk = new LoanDesk(this.self, organisation, DEFAULT_DESK_RULES, this.filledSince);
+      const desk = new LoanDesk(this.self, organisation, this.rules, this.filledSince);
       entry = { desk, waiters: new Map() };
       this.desks.set(organisation, entry);
       this.resize(organisation, desk);
@@ -178,7 +179,7 @@
   ): Promise<void> {
     const { lender, ask, tokens } = question;
     const body = { kind: 'loan.ask' as const, organisation, tokens };
-    const answer = await this.hub.ask(lender, body, DEFAULT_DESK_RULES.askTimeoutMs);
+    const answer = await this.hub.ask(lender, body, this.rules.askTimeoutMs);
     if (answer?.kind !== 'loan.offer') return;
     entry.desk.handleOffer(ask, toOffer(answer), this.clock.now());
     this.step(organisation, entry);
--- a/packages/gateway/src/fleet/fleet-task.ts
+++ b/packages/gateway/src/fleet/fleet-task.ts
@@ -11,7 +11,7 @@
 /** Time for an ordinary call: the store answers in 4 ms, in an outage 70 times as slowly. */
 const CALL_TIMEOUT_MS = toMilliseconds(1200);
 /** How often the view is confirmed; two may fail before a primary is no longer trusted. */
-const CONFIRM_EVERY_MS = 1000;
+const CONFIRM_EVERY_MS = 1250;
 /** Pause after a failed call. */
 const RETRY_MS = 250;
 /** Random part added to each pause, so that instances do not call at once. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
   type InstanceRecord as PeerRecord,
   toMilliseconds,
 } from '@heatherledge/core';
-import { createRandom, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { createRandom, DEFAULT_DESK_RULES, LimitsTask, PeerHub } from '@heatherledge/daemon';
 import { CoordinatorLease } from './failover/coordinator-lease.js';
 import { CoordinatorTask } from './failover/coordinator-task.js';
 import { MemberControl } from './failover/member-control.js';
@@ -93,7 +93,7 @@
     this.groups = new GroupsTask(settings, this.view, members, homes, clock, this.metrics, log);
     const identity = { self: instance, secret: PEER_SECRET };
     this.hub = new PeerHub(identity, (id) => this.resolvePeer(id));
-    this.limits = new LimitsTask(instance, this.hub, clock, PROCESS_START);
+    this.limits = new LimitsTask(instance, this.hub, clock, RATE_RULES, PROCESS_START);
     const record = { host, peerPort, domain: failureDomain };
     this.fleet = new FleetTask(instance, record, store, this.view, clock, this.random, log);
     this.lease = new CoordinatorLease(instance, store, this.view, clock, this.random, log);
@@ -212,6 +212,15 @@
   }
 }
 
+/**
+ * A request beyond the rate is refused almost at once: it waits only while a loan may be on its way,
+ * so that those that are served within the rate are served promptly.
+ */
+const RATE_RULES = {
+  ...DEFAULT_DESK_RULES,
+  longestWaitMs: toMilliseconds(150),
+  mostWaiting: 8,
+};
 /** The process's clock counts from its start; nothing was admitted before. */
 const PROCESS_START = toMilliseconds(0);
 /** How often shares of rates are worked out anew; they also change with the instances. */
