Follow the store's return at once, and remove instances that are gone

Change: failed confirmations are repeated every 250 ms, the return of the store reads everything anew and opens a new watch, lapsed entries count for 2.4 s more; the coordinator pings all instances and removes what is silent for 9 s; a refused connection counts as an instance that has stopped.

--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -74,6 +74,8 @@
 
   private readonly questions = new Map<number, Question>();
 
+  private readonly refusedAt = new Map<InstanceId, number>();
+
   private nextQuestion = 1;
 
   private server: WebSocketServer | undefined;
@@ -151,6 +153,17 @@
     });
   }
 
+  /**
+   * Tells whether an instance's machine has just refused a connection: no process of it runs there,
+   * and one that starts again knows nothing of before.
+   *
+   * @param id - the instance
+   * @param withinMs - how recent the refusal must be, in milliseconds
+   */
+  isRefusing(id: InstanceId, withinMs: number): boolean {
+    return performance.now() - (this.refusedAt.get(id) ?? -Infinity) < withinMs;
+  }
+
   onReady(link: PeerLink): void {
     const use = link.peer === undefined ? undefined : this.links.get(link.peer);
     if (use?.link !== link) return;
@@ -220,6 +233,9 @@
       handshakeTimeout: 1000,
       perMessageDeflate: false,
     });
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') this.refusedAt.set(to, performance.now());
+    });
     const link = new PeerLink(socket, this.identity, this, true);
     const use = { link, usedAt: performance.now(), unanswered: 0, backlog: [] };
     this.links.set(to, use);
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -119,6 +119,8 @@
     kind: z.literal('permit.offer'),
     loan: z.object({ id: z.number(), lifeMs: z.number() }).optional(),
   }),
+  /** Asks for a sign of life. */
+  z.object({ kind: z.literal('peer.ping') }),
   /** Asks to stop using a group's primary, which is being changed. */
   z.object({ kind: z.literal('primary.suspend'), group: z.string(), epoch: z.number() }),
   /** Tells the instance that changes primaries of one that does not answer. */
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -144,7 +144,11 @@
     const answers = await Promise.all(
       others.map(async (id) => ({ id, answer: await hub.ask(id, body, ACK_TIMEOUT_MS) })),
     );
-    const silent = answers.filter(({ answer }) => answer?.kind !== 'done').map(({ id }) => id);
+    const silent = answers
+      .filter(
+        ({ id, answer }) => answer?.kind !== 'done' && !hub.isRefusing(id, ACK_TIMEOUT_MS * 2),
+      )
+      .map(({ id }) => id);
     if (silent.length === 0) return;
     const waitMs = Math.max(0, writtenAt + beliefMs - clock.now());
     log.info('primary.change.waiting', { group: this.group, silent, waitMs: Math.round(waitMs) });
--- a/packages/gateway/src/fleet/fleet-task.ts
+++ b/packages/gateway/src/fleet/fleet-task.ts
@@ -8,10 +8,12 @@
 
 /** A watch that waits costs one call; a connection that went silent is noticed after this. */
 const WATCH_WAIT_MS = toMilliseconds(5000);
-/** Time for an ordinary call: the store answers in 4 ms, in an outage 70 times as slowly. */
-const CALL_TIMEOUT_MS = toMilliseconds(1200);
+/** Time for an ordinary call: the store answers in 4 ms, where it is slow 70 times as slowly. */
+const CALL_TIMEOUT_MS = toMilliseconds(800);
 /** How often the view is confirmed; two may fail before a primary is no longer trusted. */
 const CONFIRM_EVERY_MS = 1250;
+/** Entries that lapsed in an outage are back by then if their members live: 2 s, and some slack. */
+const MEMBERS_RETURN_MS = 2400;
 /** Pause after a failed call. */
 const RETRY_MS = 250;
 /** Random part added to each pause, so that instances do not call at once. */
@@ -25,6 +27,9 @@
 
   private hasStore = false;
 
+  /** Ends the present watch, whose connection may not have survived an outage. */
+  private watchAbort = new AbortController();
+
   /** Whether the store listed this instance already when the process started. */
   hasEarlierRecord = false;
 
@@ -100,7 +105,7 @@
         if (!(await this.load())) await this.pause();
         continue;
       }
-      const changes = await this.store.watch('', after, WATCH_WAIT_MS);
+      const changes = await this.store.watch('', after, WATCH_WAIT_MS, this.watchAbort.signal);
       if (changes.isOk()) {
         this.watchedUpTo = changes.value.revision;
         if (changes.value.events.length > 0) this.view.apply(changes.value.events);
@@ -115,7 +120,7 @@
 
   private async runConfirmations(): Promise<void> {
     while (!this.stopped) {
-      await delay(CONFIRM_EVERY_MS);
+      await delay(this.hasStore ? CONFIRM_EVERY_MS : RETRY_MS);
       if (this.stopped) return;
       await this.confirm();
     }
@@ -130,16 +135,26 @@
     const askedAt = this.clock.now();
     const expect = this.view.listExpectations(this.self);
     const checked = await this.store.commit({ expect, puts: [], removes: [] }, CALL_TIMEOUT_MS);
-    if (checked.isOk()) {
-      this.noteStore(true);
+    if (checked.isOk() && this.hasStore) {
       this.view.confirmation.confirm(askedAt);
+      this.view.sweepMembers(this.clock.now());
+    } else if (checked.isOk()) {
+      await this.resume();
     } else if (checked.error.kind === 'conflict') {
-      await this.load();
+      await (this.hasStore ? this.load() : this.resume());
     } else {
       this.noteStore(false, checked.error.reason);
     }
   }
 
+  /** Reads everything anew after an outage, and watches over a new connection. */
+  private async resume(): Promise<void> {
+    this.view.keepMembers(toMilliseconds(this.clock.now() + MEMBERS_RETURN_MS));
+    if (!(await this.load())) return;
+    this.watchAbort.abort();
+    this.watchAbort = new AbortController();
+  }
+
   private noteStore(works: boolean, reason?: string): void {
     if (works === this.hasStore) return;
     this.hasStore = works;
--- a/packages/gateway/src/fleet/fleet-view.ts
+++ b/packages/gateway/src/fleet/fleet-view.ts
@@ -6,6 +6,7 @@
   InstanceId,
   MemberEntry,
   MemberId,
+  Milliseconds,
 } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { StoreEvent, StoreItem, StoreRevision } from '../ports/control-store.js';
@@ -53,6 +54,11 @@
 
   private settingsRevision = NOTHING;
 
+  private keepUntil: Milliseconds | undefined;
+
+  /** Members whose entries went away while such entries are kept. */
+  private readonly unlisted = new Set<MemberId>();
+
   private noteFirstSettings: () => void = () => {};
 
   private readonly firstSettings = new Promise<void>((resolve) => {
@@ -90,8 +96,8 @@
   replace(items: readonly StoreItem[]): void {
     const keys = new Set(items.map(({ key }) => key));
     const { membersPrefix } = this.directory;
-    for (const id of this.members.keys()) {
-      if (!keys.has(membersPrefix + id)) this.members.delete(id);
+    for (const id of [...this.members.keys()]) {
+      if (!keys.has(membersPrefix + id)) this.removeMember(id);
     }
     for (const group of this.primaries.keys()) {
       if (!keys.has(formatPrimaryKey(group))) this.primaries.delete(group);
@@ -152,6 +158,26 @@
     return expectations;
   }
 
+  /**
+   * Keeps members whose entries are gone, after an outage of the store.
+   *
+   * @param until - when entries that are still missing count as gone
+   */
+  keepMembers(until: Milliseconds): void {
+    this.keepUntil = until;
+  }
+
+  /** Removes members whose entries did not come back after an outage. */
+  sweepMembers(now: Milliseconds): void {
+    if (this.keepUntil === undefined || now < this.keepUntil) return;
+    this.keepUntil = undefined;
+    const gone = [...this.unlisted];
+    this.unlisted.clear();
+    if (gone.length === 0) return;
+    for (const member of gone) this.removeMember(member);
+    this.notify({ settings: false, members: true, primaries: false, instances: false });
+  }
+
   /** @returns members of a group */
   listMembers(group: GroupId): MemberEntry[] {
     return [...this.members.values()].filter((entry) => entry.group === group);
@@ -210,6 +236,7 @@
     const entry = decoded.value;
     const known = this.members.get(entry.id);
     this.members.set(entry.id, entry);
+    this.unlisted.delete(entry.id);
     if (known?.isDraining === entry.isDraining && known.role === entry.role) return;
     const { id: member, group, role, isDraining, incarnation } = entry;
     this.log.info('member.listed', { member, group, role, isDraining, incarnation });
@@ -217,8 +244,7 @@
 
   private remove(key: string): void {
     if (key.startsWith(this.directory.membersPrefix)) {
-      const member = key.slice(this.directory.membersPrefix.length) as MemberId;
-      if (this.members.delete(member)) this.log.info('member.unlisted', { member });
+      this.removeMember(key.slice(this.directory.membersPrefix.length) as MemberId);
       return;
     }
     const name = parseRecordKey(key);
@@ -227,6 +253,15 @@
     else if (name?.kind === 'primary') this.primaries.delete(name.group);
   }
 
+  /** Entries may lapse while the store is away, though their members live. */
+  private removeMember(member: MemberId): void {
+    if (this.keepUntil !== undefined && !this.members.get(member)?.isDraining) {
+      this.unlisted.add(member);
+      return;
+    }
+    if (this.members.delete(member)) this.log.info('member.unlisted', { member });
+  }
+
   private notify(change: ViewChange): void {
     for (const listener of this.listeners) listener(change);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { createRandom, DEFAULT_DESK_RULES, LimitsTask, PeerHub } from '@heatherledge/daemon';
 import { CoordinatorLease } from './failover/coordinator-lease.js';
 import { CoordinatorTask } from './failover/coordinator-task.js';
+import { InstanceSweeper } from './failover/instance-sweeper.js';
 import { MemberControl } from './failover/member-control.js';
 import { FleetTask } from './fleet/fleet-task.js';
 import { FleetView } from './fleet/fleet-view.js';
@@ -65,6 +66,8 @@
 
   private readonly coordinator: CoordinatorTask;
 
+  private readonly sweeper: InstanceSweeper;
+
   private readonly sessions: SessionsTask;
 
   private readonly shares: ShareBook;
@@ -115,6 +118,15 @@
       this.hub,
       this.metrics,
     );
+    this.sweeper = new InstanceSweeper(
+      instance,
+      this.hub,
+      this.view,
+      store,
+      this.lease,
+      clock,
+      log,
+    );
     this.shares = new ShareBook(instance, keyLifeMs);
     this.sessions = new SessionsTask({
       clock,
@@ -143,6 +155,7 @@
     this.updateLimits();
     this.lease.start();
     this.coordinator.start();
+    this.sweeper.start();
     this.sharesTimer = setInterval(() => this.updateLimits(), SHARES_EVERY_MS);
     this.isStarted = true;
     log.info('gateway.started', { instance: settings.instance, domain: settings.failureDomain });
@@ -154,6 +167,7 @@
     this.isStopping = true;
     this.log.info('gateway.stopping', { sessions: this.sessions.count });
     this.coordinator.stop();
+    this.sweeper.stop();
     await Promise.all([this.lease.stop(), this.sessions.drain(this.settings.stopWithinMs)]);
     this.ports.callers.stop();
     clearInterval(this.sharesTimer);
--- a/packages/gateway/src/ports/control-store.ts
+++ b/packages/gateway/src/ports/control-store.ts
@@ -69,11 +69,12 @@
 /** The store; no call throws. */
 export interface ControlStore {
   readAll(prefix: string, timeoutMs: Milliseconds): Promise<Result<StoreSnapshot, StoreError>>;
-  /** Waits for changes up to `waitMs`. */
+  /** Waits for changes up to `waitMs`, or until `signal` gives the wait up. */
   watch(
     prefix: string,
     after: StoreRevision,
     waitMs: Milliseconds,
+    signal: AbortSignal,
   ): Promise<Result<StoreChanges, StoreError>>;
   /** @returns the store's revision after the change */
   commit(
