Refuse at once where the queue for a member is too long

Ruled out: handshakes (2 openings at once before and after). Change: a queue's pace is estimated from its last turns; a request that would wait beyond 0.7 of its latency objective is refused when it comes, urgent routes first.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,4 @@
 export * from './serving/confirmation.js';
 export * from './serving/fleet-settings.js';
 export * from './serving/log-mark.js';
+export * from './serving/wait-estimator.js';
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -137,6 +137,9 @@
     waitFor: logMark.optional(),
     values: z.array(z.tuple([z.string(), z.string()])),
     timeoutMs: z.number(),
+    /** Wait for a connection that is still worth while. */
+    patienceMs: z.number(),
+    priority: z.number(),
   }),
   z.object({
     kind: z.literal('read.ran'),
@@ -144,6 +147,8 @@
     signature: z.string().optional(),
     error: wireError.optional(),
     state: z.enum(['idle', 'open', 'failed']),
+    /** Refused because the queue for connections is too long. */
+    isOverloaded: z.boolean().optional(),
     mark: logMark.optional(),
   }),
   z.object({ kind: z.literal('done') }),
--- a/packages/gateway/src/failover/instance-sweeper.ts
+++ b/packages/gateway/src/failover/instance-sweeper.ts
@@ -84,8 +84,8 @@
       CALL_TIMEOUT_MS,
     );
     this.silentSince.delete(id);
-    if (removed.isErr())
-      {this.log.warn('instance.not-removed', { id, reason: removed.error.reason });}
-    else this.log.info('instance.removed', { id });
+    if (removed.isErr()) {
+      this.log.warn('instance.not-removed', { id, reason: removed.error.reason });
+    } else this.log.info('instance.removed', { id });
   }
 }
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -5,6 +5,7 @@
   type Milliseconds,
   type OrganisationId,
   toMilliseconds,
+  WaitEstimator,
 } from '@heatherledge/core';
 import type { WireError } from '../ports/caller-protocol.js';
 import type { MemberConnector } from '../ports/member-protocol.js';
@@ -21,7 +22,26 @@
   | { readonly kind: 'refused'; readonly reason: AcquireFailure };
 
 /** Why no connection was to be had. */
-export type AcquireFailure = 'timeout' | 'unreachable' | 'wrong-member' | 'queue-full' | 'closed';
+export type AcquireFailure =
+  | 'timeout'
+  | 'unreachable'
+  | 'wrong-member'
+  /** Others would be served first for too long. */
+  | 'overloaded'
+  | 'closed';
+
+/** Who asks for a connection, and how long it may take. */
+export interface AcquireRequest {
+  readonly organisation: OrganisationId | undefined;
+  /** Session whose values a connection had best have already. */
+  readonly session: SessionState;
+  /** Longest wait, in milliseconds. */
+  readonly waitMs: number;
+  /** Wait that is still worth while, in milliseconds; a longer queue refuses at once. */
+  readonly patienceMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+}
 
 /** Time for a connection to open: a round trip between regions, the handshake, a short queue. */
 const OPEN_TIMEOUT_MS = 500;
@@ -64,6 +84,7 @@
   readonly resolve: (acquired: Acquired) => void;
   readonly timer: NodeJS.Timeout;
   readonly since: Milliseconds;
+  readonly priority: number;
 }
 
 /** Lends connections, one borrower at a time, and reuses them only within one organisation. */
@@ -74,8 +95,11 @@
 
   private readonly opening = new Map<MemberConnection, NodeJS.Timeout>();
 
+  /** The most urgent first, in the order in which they came. */
   private waiters: Waiter[] = [];
 
+  private readonly waits = new WaitEstimator();
+
   /** Moment until which the member is avoided where another can serve. */
   avoidUntil: Milliseconds = toMilliseconds(0);
 
@@ -122,26 +146,23 @@
   /**
    * Borrows a connection.
    *
-   * @param organisation - for whom
-   * @param session - session whose values a connection had best have already
-   * @param waitMs - longest wait, in milliseconds
+   * @param request - who asks, and how long it may take
    */
-  async acquire(
-    organisation: OrganisationId | undefined,
-    session: SessionState,
-    waitMs: number,
-  ): Promise<Acquired> {
+  async acquire(request: AcquireRequest): Promise<Acquired> {
     if (this.isClosed) return { kind: 'refused', reason: 'closed' };
+    const { organisation, session, waitMs, patienceMs, priority } = request;
     const connection = this.takeIdle(organisation, session);
     if (connection !== undefined) return { kind: 'connection', connection };
-    if (this.waiters.length >= this.limits.mostWaiting) {
-      return { kind: 'refused', reason: 'queue-full' };
+    const position = this.findPosition(priority);
+    const expectedMs = this.waits.estimateWait(position, this.clock.now());
+    if (position >= this.limits.mostWaiting || expectedMs > Math.min(waitMs, patienceMs)) {
+      return { kind: 'refused', reason: 'overloaded' };
     }
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.expire(waiter), Math.max(1, waitMs));
       const since = this.clock.now();
-      const waiter = { organisation, session, resolve, timer, since };
-      this.waiters.push(waiter);
+      const waiter = { organisation, session, resolve, timer, since, priority };
+      this.waiters.splice(position, 0, waiter);
       this.pump();
     });
   }
@@ -227,6 +248,12 @@
     else this.pump();
   }
 
+  /** @returns place in the queue behind all that are as urgent */
+  private findPosition(priority: number): number {
+    const index = this.waiters.findIndex((waiter) => waiter.priority > priority);
+    return index < 0 ? this.waiters.length : index;
+  }
+
   private get isCrowded(): boolean {
     return this.clock.now() < this.crowdedUntil;
   }
@@ -337,6 +364,7 @@
 
   private give(connection: MemberConnection, waiter: Waiter): void {
     clearTimeout(waiter.timer);
+    this.waits.noteTurn(this.clock.now(), this.waiters.length > 0);
     this.busy.add(connection);
     waiter.resolve({ kind: 'connection', connection });
   }
--- a/packages/gateway/src/members/peer-reads.ts
+++ b/packages/gateway/src/members/peer-reads.ts
@@ -4,12 +4,17 @@
   type LogPosition,
   type MemberId,
   type OrganisationId,
+  type ReadPlacement,
+  type Route,
   type Term,
   toBrand,
 } from '@heatherledge/core';
 import type { PeerBodyOf, PeerHub } from '@heatherledge/daemon';
-import type { ReadPlacement } from '@heatherledge/core';
-import type { CallerState, DataStatement } from '../sessions/session-context.js';
+import {
+  type CallerState,
+  type DataStatement,
+  PATIENCE_PART,
+} from '../sessions/session-context.js';
 import type { GroupsTask } from './groups-task.js';
 import type { HomeDirectory } from './home-directory.js';
 import type { Exchange, MemberConnection } from './member-connection.js';
@@ -35,7 +40,8 @@
    * @param state - the caller's session
    * @param statement - the read
    * @param timeoutMs - longest wait, in milliseconds
-   * @returns how it ended, or undefined if this instance is to run it
+   * @param route - the caller's route
+   * @returns how it ended, that the queue there is too long, or undefined if this instance is to run it
    */
   async run(
     placement: ReadPlacement,
@@ -43,7 +49,8 @@
     state: CallerState,
     statement: DataStatement,
     timeoutMs: number,
-  ): Promise<Exchange | undefined> {
+    route: Route,
+  ): Promise<Exchange | 'overloaded' | undefined> {
     const entry = this.groups.findEntry(placement.member);
     if (entry === undefined || organisation === undefined) return undefined;
     const home = this.homes.findOther(entry, organisation);
@@ -62,6 +69,8 @@
         waitFor: placement.waitFor,
         values: [...state.values],
         timeoutMs,
+        patienceMs: route.targetLatencyMs * PATIENCE_PART,
+        priority: route.priority,
       },
       timeoutMs + PEER_SLACK_MS,
     );
@@ -69,6 +78,7 @@
       this.homes.noteFailure(home);
       return { kind: 'lost', reason: 'another instance did not answer', wasSent: true };
     }
+    if (answer.isOverloaded) return 'overloaded';
     const exchange = decodeExchange(answer, sentAt);
     if (exchange.kind === 'answered') this.groups.onAnswer(entry, exchange);
     return exchange;
@@ -82,8 +92,12 @@
     const session = { values: new Map(body.values) };
     const organisation = toBrand<OrganisationId>(body.organisation);
     const startedAt = this.groups.now();
-    const acquired = await pool.acquire(organisation, session, body.timeoutMs);
-    if (acquired.kind === 'refused') return refuse(`no connection: ${acquired.reason}`);
+    const { timeoutMs: waitMs, patienceMs, priority } = body;
+    const acquired = await pool.acquire({ organisation, session, waitMs, patienceMs, priority });
+    if (acquired.kind === 'refused') {
+      const isOverloaded = acquired.reason === 'overloaded';
+      return { ...refuse(`no connection: ${acquired.reason}`), isOverloaded };
+    }
     const { connection } = acquired;
     if (waitFor === undefined && !this.groups.mayReadLatestAt(member)) {
       pool.release(connection);
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -10,6 +10,7 @@
 import type { ErrorCode, StatementReply } from '../ports/caller-protocol.js';
 import {
   type CallerState,
+  createAcquireRequest,
   createErrorReply,
   type DataStatement,
   type Grant,
@@ -21,6 +22,8 @@
  * read (work of 110 ms at most, a handshake and a round trip between regions).
  */
 const HEDGE_AFTER_MS = 300;
+/** Queues that are found too long before the read is refused; a group has three members. */
+const MOST_OVERLOADS = 2;
 /** Pause before another try when no member can serve now. */
 const RETRY_PAUSE_MS = 15;
 
@@ -28,6 +31,8 @@
 type Attempt =
   | { readonly kind: 'served'; readonly reply: StatementReply; readonly member: MemberId }
   /** Another member, or the same one a little later, may serve. */
+  /** The queue is too long; another member may have a shorter one. */
+  | { readonly kind: 'overloaded'; readonly code: ErrorCode; readonly text: string }
   | { readonly kind: 'retry'; readonly code: ErrorCode; readonly text: string }
   | { readonly kind: 'final'; readonly code: ErrorCode; readonly text: string };
 
@@ -48,11 +53,18 @@
   ): Promise<StatementReply> {
     const deadline = statement.arrivedAt + grant.route.statementTimeoutMs;
     const tried = new Set<MemberId>();
+    let overloads = 0;
     let last: Attempt = { kind: 'retry', code: 'busy', text: 'no member can serve the read' };
     while (this.services.clock.now() < deadline) {
       last = await this.attemptHedged(grant, state, statement, tried, deadline);
       if (last.kind === 'served') return last.reply;
       if (last.kind === 'final') break;
+      if (last.kind === 'overloaded') {
+        overloads += 1;
+        // Where every queue is too long, waiting here would only end late.
+        if (overloads >= MOST_OVERLOADS) break;
+        continue;
+      }
       await delay(RETRY_PAUSE_MS * (1 + this.services.random()));
     }
     return createErrorReply(last.code, last.text, 'idle');
@@ -65,7 +77,7 @@
     statement: DataStatement,
     tried: Set<MemberId>,
     deadline: number,
-  ): Promise<Exclude<Attempt, { kind: 'none' }>> {
+  ): Promise<Attempt> {
     const first = this.attempt(grant, state, statement, tried, deadline);
     const early = await Promise.race([first, delay(HEDGE_AFTER_MS)]);
     if (early !== undefined) return early;
@@ -119,12 +131,21 @@
         state,
         statement,
         remainingMs,
+        grant.route,
       );
+      if (passed === 'overloaded') {
+        return { kind: 'overloaded', code: 'busy', text: 'the queue for the member is too long' };
+      }
       if (passed !== undefined) return this.judgeExchange(passed, placement.member);
     }
-    const acquired = await pool.acquire(grant.organisation, state, deadline - clock.now());
+    const acquired = await pool.acquire(createAcquireRequest(grant, state, deadline - clock.now()));
     if (acquired.kind === 'refused') {
-      return { kind: 'retry', code: 'busy', text: `no connection: ${acquired.reason}` };
+      const text = `no connection: ${acquired.reason}`;
+      return {
+        kind: acquired.reason === 'overloaded' ? 'overloaded' : 'retry',
+        code: 'busy',
+        text,
+      };
     }
     const { connection } = acquired;
     const objection = this.findObjection(placement, grant);
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -10,6 +10,7 @@
 } from '@heatherledge/core';
 import type { PreparedStatement, SessionState } from '../members/member-connection.js';
 import type { GroupsTask } from '../members/groups-task.js';
+import type { AcquireRequest } from '../members/member-pool.js';
 import type { PeerReads } from '../members/peer-reads.js';
 import type { ErrorCode, StatementReply, TransactionState } from '../ports/caller-protocol.js';
 import type { EventLog } from '../runtime/event-log.js';
@@ -79,3 +80,22 @@
 export function createOwnReply(state: TransactionState): StatementReply {
   return { rows: [], signature: undefined, error: undefined, state, mark: undefined };
 }
+
+/** Part of the latency objective for which a wait is still worth while. */
+export const PATIENCE_PART = 0.7;
+
+/**
+ * @param grant - the caller's route and organisation
+ * @param session - the caller's session
+ * @param waitMs - longest wait, in milliseconds
+ * @returns what to ask a pool for
+ */
+export function createAcquireRequest(
+  grant: Grant,
+  session: SessionState,
+  waitMs: number,
+): AcquireRequest {
+  const { organisation, route } = grant;
+  const patienceMs = route.targetLatencyMs * PATIENCE_PART;
+  return { organisation, session, waitMs, patienceMs, priority: route.priority };
+}
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -11,6 +11,7 @@
 import type { StatementReply, WireError } from '../ports/caller-protocol.js';
 import {
   type CallerState,
+  createAcquireRequest,
   createErrorReply,
   type DataStatement,
   type Grant,
@@ -42,6 +43,9 @@
 
   private isEnded = false;
 
+  /** The primary's queue is too long, and no other member can serve. */
+  private isOverloaded = false;
+
   private idleTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -151,7 +155,7 @@
       const result = await this.tryBegin(tried, deadline);
       if (result === undefined) return;
       failure = result;
-      if (result.code === 'key-rejected') break;
+      if (result.code === 'key-rejected' || this.isOverloaded) break;
       await delay(BEGIN_PAUSE_MS * (1 + random()));
     }
     this.failure ??= failure;
@@ -167,8 +171,9 @@
     }
     tried.add(placement.member);
     const waitMs = deadline - clock.now();
-    const acquired = await pool.acquire(this.grant.organisation, this.state, waitMs);
+    const acquired = await pool.acquire(createAcquireRequest(this.grant, this.state, waitMs));
     if (acquired.kind === 'refused') {
+      this.isOverloaded = acquired.reason === 'overloaded' && !this.readOnly;
       return { code: 'busy', text: `no connection: ${acquired.reason}` };
     }
     const { connection } = acquired;
--- a/packages/gateway/src/sessions/write-executor.ts
+++ b/packages/gateway/src/sessions/write-executor.ts
@@ -4,6 +4,7 @@
 import type { StatementReply } from '../ports/caller-protocol.js';
 import {
   type CallerState,
+  createAcquireRequest,
   createErrorReply,
   type DataStatement,
   type Grant,
@@ -54,8 +55,11 @@
     const member = await groups.waitForPrimary(group, deadline - clock.now());
     const pool = member === undefined ? undefined : groups.findPool(member);
     if (pool === undefined) return refuse('no primary is known');
-    const acquired = await pool.acquire(grant.organisation, state, deadline - clock.now());
-    if (acquired.kind === 'refused') return refuse(`no connection: ${acquired.reason}`);
+    const acquired = await pool.acquire(createAcquireRequest(grant, state, deadline - clock.now()));
+    if (acquired.kind === 'refused') {
+      const refusal = refuse(`no connection: ${acquired.reason}`);
+      return { ...refusal, isFinal: acquired.reason === 'overloaded' };
+    }
     const { connection } = acquired;
     const objection = judge.findObjection(grant);
     if (objection !== undefined || groups.findPrimary(group) !== member) {
