--- /dev/null
+++ b/packages/gateway/test/units/fleet.test.ts
@@ -0,0 +1,193 @@
+import {
+  Confirmation,
+  type GroupId,
+  type InstanceId,
+  ManualClock,
+  type MemberEntry,
+  type MemberId,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
+import { ok } from 'neverthrow';
+import { describe, expect, it } from 'vitest';
+import {
+  encodeRecord,
+  EventLog,
+  type FleetDirectory,
+  FleetView,
+  formatInstanceKey,
+  formatPrimaryKey,
+  ShareBook,
+  type StoreItem,
+  type StoreRevision,
+} from '../../src/index.js';
+
+const MEMBER = toBrand<MemberId>('m1');
+
+function createEntry(isDraining: boolean): MemberEntry {
+  return {
+    id: MEMBER,
+    group: toBrand<GroupId>('g'),
+    host: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    role: 'primary',
+    slots: 2,
+    isDraining,
+    incarnation: 1,
+  };
+}
+
+const DIRECTORY: FleetDirectory = {
+  settingsKey: 'settings',
+  membersPrefix: 'members/',
+  decodeSettings: () => ok(JSON.parse('{}')),
+  decodeMember: (_, value) => ok(createEntry(value.toString() === 'draining')),
+};
+
+function createView(): FleetView {
+  const limit = toMilliseconds(1000);
+  const confirmation = new Confirmation({ keyedMs: limit, primaryMs: limit, readyMs: limit });
+  return new FleetView(DIRECTORY, confirmation, new EventLog(new ManualClock()));
+}
+
+function createItem(key: string, value: string, revision = 1): StoreItem {
+  const at = revision as StoreRevision;
+  return { key, value: Buffer.from(value), revision: at, createdRevision: at };
+}
+
+describe('view of the fleet', () => {
+  it('forgets what a listing does not name', () => {
+    const view = createView();
+    view.replace([createItem('members/m1', 'ready')]);
+    view.replace([]);
+    expect(view.members.size).toBe(0);
+  });
+
+  describe('after an outage of the store', () => {
+    it('keeps members whose entries lapsed until they had time to come back', () => {
+      const view = createView();
+      view.replace([createItem('members/m1', 'ready')]);
+      view.keepMembers(toMilliseconds(2400));
+      view.replace([]);
+      view.sweepMembers(toMilliseconds(2300));
+      expect(view.members.has(MEMBER)).toBe(true);
+      view.sweepMembers(toMilliseconds(2400));
+      expect(view.members.has(MEMBER)).toBe(false);
+    });
+
+    it('keeps a member whose entry came back', () => {
+      const view = createView();
+      view.replace([createItem('members/m1', 'ready')]);
+      view.keepMembers(toMilliseconds(2400));
+      view.apply([{ kind: 'deleted', key: 'members/m1' }]);
+      view.apply([{ kind: 'written', item: createItem('members/m1', 'ready', 2) }]);
+      view.sweepMembers(toMilliseconds(2400));
+      expect(view.members.has(MEMBER)).toBe(true);
+    });
+
+    it('lets a member that was leaving go at once', () => {
+      const view = createView();
+      view.replace([createItem('members/m1', 'draining')]);
+      view.keepMembers(toMilliseconds(2400));
+      view.replace([]);
+      expect(view.members.has(MEMBER)).toBe(false);
+    });
+  });
+
+  describe('primaries', () => {
+    const group = toBrand<GroupId>('g');
+    const key = formatPrimaryKey(group);
+
+    it('never go back to an older record', () => {
+      const view = createView();
+      const record = (epoch: number) => encodeRecord({ epoch, member: `m${epoch}` }).toString();
+      view.apply([{ kind: 'written', item: createItem(key, record(2), 20) }]);
+      view.apply([{ kind: 'written', item: createItem(key, record(1), 10) }]);
+      expect(view.primaries.get(group)?.value.epoch).toBe(2);
+    });
+
+    it('are part of what a confirmation checks', () => {
+      const view = createView();
+      view.apply([
+        { kind: 'written', item: createItem(key, encodeRecord({ epoch: 1 }).toString(), 20) },
+      ]);
+      expect(view.listExpectations(toBrand<InstanceId>('i'))).toContainEqual({ key, revision: 20 });
+    });
+
+    it('survive a record that cannot be read', () => {
+      const view = createView();
+      view.apply([{ kind: 'written', item: createItem(key, 'not a record', 20) }]);
+      expect(view.primaries.size).toBe(0);
+    });
+  });
+});
+
+describe('shares of the rates', () => {
+  const SETTLE_MS = toMilliseconds(5000);
+  const self = toBrand<InstanceId>('a');
+
+  function createInstances(...names: string[]): Map<InstanceId, never> {
+    const view = createView();
+    const value = encodeRecord({ host: 'h', peerPort: 1, domain: 'd' }).toString();
+    view.replace(
+      names.map((name) => createItem(formatInstanceKey(toBrand<InstanceId>(name)), value)),
+    );
+    return view.instances as unknown as Map<InstanceId, never>;
+  }
+
+  function resolvePart(book: ShareBook, names: string[], now: number): number {
+    const { owned, slotCount } = book.resolve(createInstances(...names), toMilliseconds(now));
+    return slotCount === 0 ? 0 : owned.length / slotCount;
+  }
+
+  it('begin only when every other instance must have seen the newcomer', () => {
+    const book = new ShareBook(self, SETTLE_MS);
+    expect(resolvePart(book, ['a', 'b'], 0)).toBe(0);
+    expect(resolvePart(book, ['a', 'b'], 5000)).toBe(0);
+    expect(resolvePart(book, ['a', 'b'], 5001)).toBe(0.5);
+  });
+
+  it('are kept over a restart', () => {
+    const book = new ShareBook(self, SETTLE_MS);
+    book.inherit();
+    expect(resolvePart(book, ['a', 'b'], 0)).toBe(0.5);
+  });
+
+  it('shrink at once for a newcomer, and grow late after one has gone', () => {
+    const book = new ShareBook(self, SETTLE_MS);
+    book.inherit();
+    expect(resolvePart(book, ['a', 'b', 'c'], 0)).toBeCloseTo(1 / 3);
+    expect(resolvePart(book, ['a', 'b'], 5000)).toBeCloseTo(1 / 3);
+    expect(resolvePart(book, ['a', 'b'], 5001)).toBe(0.5);
+  });
+
+  it('end when the instance itself is not listed, and begin anew as for a newcomer', () => {
+    const book = new ShareBook(self, SETTLE_MS);
+    book.inherit();
+    expect(resolvePart(book, ['b'], 0)).toBe(0);
+    expect(resolvePart(book, ['a', 'b'], 100)).toBe(0);
+    expect(resolvePart(book, ['a', 'b'], 5101)).toBe(0.5);
+  });
+
+  it('never add up to more than the whole while instances come and go', () => {
+    const books = new Map(
+      ['a', 'b', 'c', 'd'].map((name) => [
+        name,
+        new ShareBook(toBrand<InstanceId>(name), SETTLE_MS),
+      ]),
+    );
+    const alive = (now: number): string[] => {
+      const names = ['a', 'b'];
+      if (now >= 3000 && now < 16_000) names.push('c');
+      if (now >= 9000) names.push('d');
+      return names;
+    };
+    for (let now = 0; now < 30_000; now += 100) {
+      let sum = 0;
+      for (const [name, book] of books)
+        {if (alive(now).includes(name)) sum += resolvePart(book, alive(now), now);}
+      expect(sum).toBeLessThanOrEqual(1 + 1e-9);
+    }
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -0,0 +1,213 @@
+import {
+  type GroupId,
+  ManualClock,
+  type MemberEntry,
+  type MemberId,
+  type OrganisationId,
+  toBrand,
+} from '@heatherledge/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { type Acquired, type AcquireRequest, MemberPool } from '../../src/index.js';
+import { EMPTY_REPLY, FakeConnector } from '../fixtures/fake-connector.js';
+
+const ENTRY: MemberEntry = {
+  id: toBrand<MemberId>('m'),
+  group: toBrand<GroupId>('g'),
+  host: '127.0.0.1',
+  port: 1,
+  failureDomain: 'a',
+  role: 'primary',
+  slots: 2,
+  isDraining: false,
+  incarnation: 1,
+};
+
+const LISTENER = { onAnswer() {}, onUnreachable() {}, onConnection() {} };
+
+function createRequest(
+  organisation: string,
+  changes: Partial<AcquireRequest> = {},
+): AcquireRequest {
+  return {
+    organisation: toBrand<OrganisationId>(organisation),
+    session: { values: new Map() },
+    waitMs: 5000,
+    patienceMs: 5000,
+    priority: 1,
+    ...changes,
+  };
+}
+
+describe('pool of connections to one member', () => {
+  let connector: FakeConnector;
+  let clock: ManualClock;
+  let pool: MemberPool;
+
+  beforeEach(() => {
+    connector = new FakeConnector();
+    clock = new ManualClock(1000);
+    const limits = { most: 4, mostWaiting: 64 };
+    pool = new MemberPool(ENTRY, connector, limits, LISTENER, clock, () => false);
+  });
+
+  afterEach(() => pool.close());
+
+  async function borrow(organisation: string): Promise<Extract<Acquired, { kind: 'connection' }>> {
+    const acquired = pool.acquire(createRequest(organisation));
+    connector.channels.at(-1)?.accept();
+    const result = await acquired;
+    if (result.kind !== 'connection') throw new Error(result.reason);
+    return result;
+  }
+
+  describe('load pattern: thirty callers come at once', () => {
+    it('opens two connections at a time, so that a crowded member is not kept busy with them', () => {
+      for (let caller = 0; caller < 30; caller += 1) void pool.acquire(createRequest(`o${caller}`));
+      expect(connector.channels).toHaveLength(2);
+      connector.channels[0]?.accept();
+      expect(connector.channels.length).toBeLessThanOrEqual(3);
+      expect(pool.size).toBeLessThanOrEqual(4);
+    });
+
+    it('never has more connections than its limit, also when they are closed and opened in turn', async () => {
+      for (let caller = 0; caller < 30; caller += 1) void pool.acquire(createRequest(`o${caller}`));
+      for (let step = 0; step < 60; step += 1) {
+        connector.channels.find(({ isClosed, isOpen }) => !isClosed && !isOpen)?.accept();
+        await Promise.resolve();
+        expect(pool.size).toBeLessThanOrEqual(4);
+      }
+    });
+  });
+
+  describe('reuse', () => {
+    it('lends a connection again within its organisation', async () => {
+      const { connection } = await borrow('a');
+      pool.release(connection);
+      expect(await pool.acquire(createRequest('a'))).toEqual({ kind: 'connection', connection });
+      expect(connector.channels).toHaveLength(1);
+    });
+
+    it('never lends it to another organisation', async () => {
+      const { connection } = await borrow('a');
+      pool.release(connection);
+      const other = await borrow('b');
+      expect(other.connection).not.toBe(connection);
+    });
+
+    it('drops a connection that is given back inside a transaction', async () => {
+      const { connection } = await borrow('a');
+      connection.transactionState = 'open';
+      pool.release(connection);
+      expect(connection.isClosed).toBe(true);
+      expect(pool.size).toBe(0);
+    });
+
+    it('closes what is idle once the member has no connection left', async () => {
+      const { connection } = await borrow('a');
+      pool.release(connection);
+      void pool.acquire(createRequest('b'));
+      connector.channels.at(-1)?.handler.onClosed({ code: 'connection-limit', text: '' });
+      expect(connection.isClosed).toBe(true);
+    });
+  });
+
+  describe('order', () => {
+    it('serves urgent routes first', async () => {
+      const order: string[] = [];
+      const first = await borrow('a');
+      const second = await borrow('a');
+      const ask = async (name: string, priority: number): Promise<void> => {
+        await pool.acquire(createRequest('a', { priority }));
+        order.push(name);
+      };
+      void ask('usual', 2);
+      void ask('urgent', 1);
+      pool.release(first.connection);
+      await Promise.resolve();
+      await Promise.resolve();
+      pool.release(second.connection);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+      expect(order).toEqual(['urgent', 'usual']);
+    });
+  });
+
+  describe('refusal', () => {
+    it('comes at once where the queue is full', async () => {
+      const limits = { most: 1, mostWaiting: 1 };
+      const small = new MemberPool(ENTRY, connector, limits, LISTENER, clock, () => false);
+      void small.acquire(createRequest('a'));
+      expect(await small.acquire(createRequest('a'))).toEqual({
+        kind: 'refused',
+        reason: 'overloaded',
+      });
+      small.close();
+    });
+
+    it('tells all who wait that the member cannot be reached', async () => {
+      const waiting = pool.acquire(createRequest('a'));
+      connector.channels[0]?.handler.onClosed({ code: 'busy', text: 'refused' });
+      expect(await waiting).toEqual({ kind: 'refused', reason: 'unreachable' });
+    });
+  });
+
+  describe('session state at the member', () => {
+    it('sends values and prepared statements before the statement that needs them', async () => {
+      const { connection } = await borrow('a');
+      const session = { values: new Map([['zone', 'x']]) };
+      const prepared = { memberName: 'read_q', access: 'read' as const, shape: 'q' };
+      const command = {
+        kind: 'forward' as const,
+        requestId: '1',
+        text: 'EXECUTE read_q 1',
+        waitFor: undefined,
+      };
+      void connection.exchangeInSession(session, prepared, command, 1000);
+      const [channel] = connector.channels;
+      expect(channel?.commands.map(({ kind }) => kind)).toEqual(['set', 'prepare', 'forward']);
+      for (let answer = 0; answer < 3; answer += 1) channel?.handler.onReply(EMPTY_REPLY);
+      void connection.exchangeInSession(session, prepared, command, 1000);
+      expect(channel?.commands.slice(3).map(({ kind }) => kind)).toEqual(['forward']);
+    });
+
+    it('drops values that the next session does not have', async () => {
+      const { connection } = await borrow('a');
+      const command = {
+        kind: 'forward' as const,
+        requestId: '1',
+        text: 'READ 1',
+        waitFor: undefined,
+      };
+      void connection.exchangeInSession(
+        { values: new Map([['z', '1']]) },
+        undefined,
+        command,
+        1000,
+      );
+      void connection.exchangeInSession({ values: new Map() }, undefined, command, 1000);
+      const kinds = connector.channels[0]?.commands.map(({ kind }) => kind);
+      expect(kinds).toEqual(['set', 'forward', 'reset', 'forward']);
+    });
+
+    it('drops the connection when the member refuses a value', async () => {
+      const { connection } = await borrow('a');
+      const command = {
+        kind: 'forward' as const,
+        requestId: '1',
+        text: 'READ 1',
+        waitFor: undefined,
+      };
+      const exchange = connection.exchangeInSession(
+        { values: new Map([['z', '1']]) },
+        undefined,
+        command,
+        1000,
+      );
+      const error = { code: 'malformed' as const, text: '' };
+      connector.channels[0]?.handler.onReply({ ...EMPTY_REPLY, error });
+      expect((await exchange).kind).toBe('lost');
+      expect(connection.isClosed).toBe(true);
+    });
+  });
+});
