Lend whole tokens, and hold a low rate at few instances

Change: the gateway's loans are whole tokens; a rate is held by as many instances as its burst feeds with eight requests. Unused settings and fields removed.

--- a/packages/core/src/limits/loan-desk.ts
+++ b/packages/core/src/limits/loan-desk.ts
@@ -161,7 +161,9 @@
     // An answer that comes too late is left alone: its lender counts the loan until it lapses.
     if (question === undefined) return;
     this.questions.delete(ask);
-    this.notes.set(question.lender, { spare: offer.spare, at: now });
+    // One that lent nothing is left alone for a while, whatever fraction it has.
+    const spare = offer.loan === undefined ? 0 : offer.spare;
+    this.notes.set(question.lender, { spare, at: now });
     if (offer.loan !== undefined) {
       this.limiter.addLoan(question.lender, offer.loan, question.askedAt, now);
     }
@@ -233,8 +235,7 @@
     if (this.questions.size > 0) return [];
     const need = this.limiter.resolveNeed(this.waiting.length, now);
     if (need <= 0) return [];
-    const lenders = this.chooseLenders(now);
-    const tokens = Math.max(1, need) / Math.max(1, lenders.length);
+    const { lenders, tokens } = this.divideNeed(Math.max(1, need), this.chooseLenders(now));
     return lenders.map((lender) => {
       const ask = this.nextAsk;
       this.nextAsk += 1;
@@ -243,6 +244,18 @@
     });
   }
 
+  /** Where loans are whole units, no more lenders are asked than there are units wanted. */
+  private divideNeed(
+    need: number,
+    willing: readonly InstanceId[],
+  ): { lenders: readonly InstanceId[]; tokens: number } {
+    const unit = this.rules.loans.loanUnit ?? 0;
+    if (unit <= 0) return { lenders: willing, tokens: need / Math.max(1, willing.length) };
+    const units = Math.ceil(need / unit);
+    const lenders = willing.slice(0, units);
+    return { lenders, tokens: Math.ceil(units / Math.max(1, lenders.length)) * unit };
+  }
+
   /** Those that had most to spare first; those that had nothing not at all for a while. */
   private chooseLenders(now: Milliseconds): InstanceId[] {
     const { emptyLenderMs, fanout } = this.rules;
--- a/packages/core/src/limits/organisation-limiter.ts
+++ b/packages/core/src/limits/organisation-limiter.ts
@@ -12,6 +12,11 @@
   readonly horizonMs: Milliseconds;
   /** Time constant of the demand estimate. */
   readonly smoothingMs: Milliseconds;
+  /**
+   * Loans are multiples of this; any size if left out. Where many borrow from one lender, fractions
+   * would scatter its tokens until nobody holds a whole one.
+   */
+  readonly loanUnit?: number;
 }
 
 /** Timings for distances of up to 12 ms between regions. */
@@ -111,7 +116,8 @@
   lend(count: number, now: Milliseconds): LoanOffer {
     this.decayDemand(now);
     const reserve = this.demandPerMs * this.timings.horizonMs;
-    const loan = this.slice.lend(count, reserve, this.timings.lifeMs, now);
+    const { lifeMs, loanUnit } = this.timings;
+    const loan = this.slice.lend(count, reserve, lifeMs, now, loanUnit);
     return { loan, spare: Math.max(0, this.slice.available(now) - reserve) };
   }
 
--- a/packages/core/src/limits/token-slice.ts
+++ b/packages/core/src/limits/token-slice.ts
@@ -25,6 +25,8 @@
 
 /** Slowest against fastest clock that is allowed for, as a factor on a loan's life. */
 const CLOCK_DRIFT_FACTOR = 1.02;
+/** Sums of parts may fall short of a whole token by rounding only. */
+const ROUNDING = 1e-9;
 /** Loans below this many tokens are not worth a message. */
 const SMALLEST_LOAN_TOKENS = 0.05;
 
@@ -106,11 +108,19 @@
    * @param reserve - tokens that this instance keeps for its own callers
    * @param lifeMs - how long the borrower may spend, from when it asked
    * @param now - present moment
+   * @param unit - loans are multiples of this; 0 for any size
    * @returns the loan, or undefined if nothing can be spared
    */
-  lend(count: number, reserve: number, lifeMs: Milliseconds, now: Milliseconds): Loan | undefined {
+  lend(
+    count: number,
+    reserve: number,
+    lifeMs: Milliseconds,
+    now: Milliseconds,
+    unit = 0,
+  ): Loan | undefined {
     this.refill(now);
-    const tokens = Math.min(count, this.tokens - reserve);
+    const spare = Math.min(count, this.tokens - reserve);
+    const tokens = unit > 0 ? Math.floor((spare + ROUNDING) / unit) * unit : spare;
     if (tokens < SMALLEST_LOAN_TOKENS) return undefined;
     this.tokens -= tokens;
     const id = toBrand<LoanId>(this.nextLoanId);
--- a/packages/core/src/serving/choose-reader.ts
+++ b/packages/core/src/serving/choose-reader.ts
@@ -16,8 +16,6 @@
   readonly avoidUntil: Milliseconds;
   /** Newest place that its log was seen to hold. */
   readonly seen: LogMark | undefined;
-  /** When `seen` was told. */
-  readonly seenAt: Milliseconds;
   /** Moment until which it is taken for lagging after a refused read. */
   readonly laggingUntil: Milliseconds;
 }
--- a/packages/core/test/units/serving.test.ts
+++ b/packages/core/test/units/serving.test.ts
@@ -45,7 +45,6 @@
     pending: 0,
     avoidUntil: toMilliseconds(0),
     seen: undefined,
-    seenAt: toMilliseconds(0),
     laggingUntil: toMilliseconds(0),
     ...changes,
   };
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -33,6 +33,16 @@
   readonly owned: readonly number[];
   readonly slotCount: number;
   readonly holders: ReadonlySet<InstanceId>;
+  /** Where given, divides each organisation's rate by itself in place of the slots. */
+  readonly divide?: (organisation: OrganisationId, burst: number) => RatePart;
+}
+
+/** One instance's part of an organisation's rate. */
+export interface RatePart {
+  /** 0 to 1; the parts of all instances add up to at most 1. */
+  readonly part: number;
+  /** Instances that have parts; the same set if nothing has changed. */
+  readonly holders: ReadonlySet<InstanceId>;
 }
 
 /** Rules for distances of up to 12 ms between regions. */
@@ -140,10 +150,16 @@
 
   private resize(id: OrganisationId, desk: LoanDesk): void {
     const organisation = this.settings?.organisations.get(id);
-    const { owned, slotCount, holders } = this.slots;
-    const part = slotCount === 0 ? 0 : owned.length / slotCount;
-    const rate = (organisation?.requestsPerSecond ?? 0) * part;
-    desk.resize(rate, (organisation?.burst ?? 0) * part, holders, this.clock.now());
+    const rate = organisation?.requestsPerSecond ?? 0;
+    const burst = organisation?.burst ?? 0;
+    const { part, holders } = this.resolvePart(id, burst);
+    desk.resize(rate * part, burst * part, holders, this.clock.now());
+  }
+
+  private resolvePart(id: OrganisationId, burst: number): RatePart {
+    const { owned, slotCount, holders, divide } = this.slots;
+    if (divide !== undefined) return divide(id, burst);
+    return { part: slotCount === 0 ? 0 : owned.length / slotCount, holders };
   }
 
   /** Steps an organisation's desk soon, and again while it is busy; idle ones cost nothing. */
--- a/packages/gateway/src/fleet/share-book.ts
+++ b/packages/gateway/src/fleet/share-book.ts
@@ -1,9 +1,17 @@
 /** Divides every organisation's rate among the instances by what the store lists. */
-import type { InstanceId, Milliseconds } from '@heatherledge/core';
-import type { SlotKnowledge } from '@heatherledge/daemon';
+import {
+  chooseHolders,
+  type InstanceId,
+  type Milliseconds,
+  type OrganisationId,
+} from '@heatherledge/core';
+import type { RatePart, SlotKnowledge } from '@heatherledge/daemon';
 import type { Stored } from './fleet-view.js';
 import type { InstanceRecord } from './records.js';
 
+/** Requests that an instance's part of a burst should hold at least, to be of use by itself. */
+const SMALLEST_BURST = 8;
+
 /**
  * Resolves an instance's part of the rates.
  *
@@ -46,11 +54,34 @@
     const names = `${mayUse} ${[...this.listedUntil.keys()].sort().join(' ')}`;
     if (this.known?.names === names) return this.known.knowledge;
     const holders = new Set([...this.listedUntil.keys()]);
-    const knowledge = { owned: mayUse ? [0] : [], slotCount: holders.size, holders };
+    const divide = this.createDivision(holders, mayUse);
+    const knowledge = { owned: mayUse ? [0] : [], slotCount: holders.size, holders, divide };
     this.known = { names, knowledge };
     return knowledge;
   }
 
+  /**
+   * Divides a rate among as many instances as its burst feeds.
+   *
+   * Answers the pattern of a rate that is low for the fleet: equal parts of it hold less than one
+   * request each, and whole tokens come together only by chance. A few instances then hold all of
+   * it, and the others borrow from them for each request.
+   */
+  private createDivision(
+    all: ReadonlySet<InstanceId>,
+    mayUse: boolean,
+  ): (organisation: OrganisationId, burst: number) => RatePart {
+    const chosen = new Map<string, ReadonlySet<InstanceId>>();
+    return (organisation, burst) => {
+      const count = Math.max(1, Math.min(all.size, Math.floor(burst / SMALLEST_BURST)));
+      const key = `${organisation} ${count}`;
+      const holders =
+        chosen.get(key) ?? new Set(chooseHolders(`rate/${organisation}`, [...all], count));
+      chosen.set(key, holders);
+      return { part: mayUse && holders.has(this.self) ? 1 / count : 0, holders };
+    };
+  }
+
   /** Keeps the part of the process's earlier life, which the others have counted all the while. */
   inherit(): void {
     this.hasInherited = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,8 @@
 /** One gateway process: composes the tasks and starts and stops them in order. */
 import {
   Confirmation,
+  DEFAULT_LOAN_TIMINGS,
+  type DeskRules,
   type InstanceRecord as PeerRecord,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -35,6 +37,21 @@
 /** Peers are reached only on the platform's own network; the text keeps strangers out by mistake. */
 const PEER_SECRET = 'heatherledge-gateway';
 
+/**
+ * A request beyond the rate is refused almost at once: it waits only while a loan may be on its way,
+ * so that those that are served within the rate are served promptly.
+ */
+export const RATE_RULES: DeskRules = {
+  ...DEFAULT_DESK_RULES,
+  loans: { ...DEFAULT_LOAN_TIMINGS, loanUnit: 1 },
+  longestWaitMs: toMilliseconds(150),
+  mostWaiting: 8,
+};
+/** The process's clock counts from its start; nothing was admitted before. */
+const PROCESS_START = toMilliseconds(0);
+/** How often shares of rates are worked out anew; they also change with the instances. */
+const SHARES_EVERY_MS = 500;
+
 /** What the platform provides. */
 export interface GatewayPorts {
   readonly store: ControlStore;
@@ -72,6 +89,8 @@
 
   private readonly shares: ShareBook;
 
+  private sharesTimer: NodeJS.Timeout | undefined;
+
   private isStopping = false;
 
   private isStarted = false;
@@ -205,8 +224,6 @@
     };
   }
 
-  private sharesTimer: NodeJS.Timeout | undefined;
-
   private updateLimits(): void {
     const { settings, instances } = this.view;
     if (settings === undefined) return;
@@ -225,17 +242,3 @@
     return this.view.settings?.organisations.keys().next().value;
   }
 }
-
-/**
- * A request beyond the rate is refused almost at once: it waits only while a loan may be on its way,
- * so that those that are served within the rate are served promptly.
- */
-const RATE_RULES = {
-  ...DEFAULT_DESK_RULES,
-  longestWaitMs: toMilliseconds(150),
-  mostWaiting: 8,
-};
-/** The process's clock counts from its start; nothing was admitted before. */
-const PROCESS_START = toMilliseconds(0);
-/** How often shares of rates are worked out anew; they also change with the instances. */
-const SHARES_EVERY_MS = 500;
--- a/packages/gateway/src/members/groups-task.ts
+++ b/packages/gateway/src/members/groups-task.ts
@@ -40,7 +40,6 @@
   readonly pool: MemberPool;
   readonly limits: { most: number; mostWaiting: number };
   seen: LogMark | undefined;
-  seenAt: Milliseconds;
   laggingUntil: Milliseconds;
   /** Refusals in a row. */
   lagCount: number;
@@ -176,7 +175,7 @@
     const now = this.clock.now();
     const readers: ReaderState[] = [];
     for (const state of this.states.values()) {
-      const { entry, pool, seen, seenAt, laggingUntil } = state;
+      const { entry, pool, seen, laggingUntil } = state;
       if (entry.group !== group) continue;
       const isPrimary = entry.id === primary;
       if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
@@ -191,7 +190,6 @@
         pending,
         avoidUntil,
         seen,
-        seenAt,
         laggingUntil,
       });
     }
@@ -215,7 +213,6 @@
     if (mark === undefined || state === undefined) return;
     if (exchange.reply.signature !== undefined) state.lagCount = 0;
     state.seen = mark;
-    state.seenAt = this.clock.now();
     this.noteSample(entry, mark, exchange.sentAt);
   }
 
@@ -288,14 +285,12 @@
     const isHome = (organisation: OrganisationId | undefined): boolean =>
       this.homes.isHome(entry, organisation);
     const pool = new MemberPool(entry, this.connector, limits, this, this.clock, isHome);
-    const now = this.clock.now();
     const laggingUntil = toMilliseconds(0);
     this.states.set(entry.id, {
       entry,
       pool,
       limits,
       seen: undefined,
-      seenAt: now,
       laggingUntil,
       lagCount: 0,
     });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -13,5 +13,4 @@
   readonly stopWithinMs: Milliseconds;
   /** Longest time for which a withdrawn key may be used. */
   readonly keyLifeMs: Milliseconds;
-  readonly shortestLeaseMs: Milliseconds;
 }
--- a/packages/gateway/test/units/fleet.test.ts
+++ b/packages/gateway/test/units/fleet.test.ts
@@ -1,13 +1,18 @@
 import {
   Confirmation,
+  DEFAULT_LOAN_TIMINGS,
+  type DeskRules,
   type GroupId,
   type InstanceId,
   ManualClock,
   type MemberEntry,
+  LoanDesk,
   type MemberId,
+  type OrganisationId,
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
+import type { RatePart } from '@heatherledge/daemon';
 import { ok } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
 import {
@@ -17,6 +22,7 @@
   FleetView,
   formatInstanceKey,
   formatPrimaryKey,
+  RATE_RULES,
   ShareBook,
   type StoreItem,
   type StoreRevision,
@@ -170,6 +176,81 @@
     expect(resolvePart(book, ['a', 'b'], 5101)).toBe(0.5);
   });
 
+  describe('of a rate that is low for the fleet', () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+    const organisation = toBrand<OrganisationId>('o');
+
+    function divide(name: string, burst: number): RatePart | undefined {
+      const book = new ShareBook(toBrand<InstanceId>(name), SETTLE_MS);
+      book.inherit();
+      return book
+        .resolve(createInstances(...names), toMilliseconds(0))
+        .divide?.(organisation, burst);
+    }
+
+    it('are held by as many instances as its burst feeds', () => {
+      const parts = names.map((name) => divide(name, 17)?.part ?? 0);
+      expect(parts.filter((part) => part > 0)).toEqual([0.5, 0.5]);
+    });
+
+    it('are equal where the burst feeds all', () => {
+      for (const name of names) expect(divide(name, 95)?.part).toBe(1 / 8);
+    });
+
+    /** Load pattern: a rate of 5 a second over eight instances, each asked for 2 a second. */
+    function replay(parts: readonly RatePart[], rules: DeskRules): number {
+      const desks = new Map(
+        names.map((name) => {
+          const id = toBrand<InstanceId>(name);
+          return [id, new LoanDesk(id, organisation, rules)];
+        }),
+      );
+      const ids = [...desks.keys()];
+      let admitted = 0;
+      for (let now = 0; now < 40_000; now += 10) {
+        const at = toMilliseconds(now);
+        for (const [index, id] of ids.entries()) {
+          const desk = desks.get(id) as LoanDesk;
+          const { part, holders } = parts[index] as RatePart;
+          desk.resize(5 * part, 5 * part, holders, at);
+          if ((now + index * 60) % 500 === 0 && desk.request(at) === undefined) admitted += 1;
+          const actions = desk.step(at);
+          admitted += actions.admitted.length;
+          for (const { lender, ask, tokens } of actions.questions) {
+            const offer = desks.get(lender)?.handleAsk(tokens, at);
+            if (offer !== undefined) desk.handleOffer(ask, offer, at);
+          }
+          for (const { lender, loan, unspent } of actions.settlements) {
+            desks.get(lender)?.handleSettlement(loan, unspent, at);
+          }
+        }
+      }
+      return admitted / (5 * 40);
+    }
+
+    it('serve nearly all of the rate, where equal parts serve less', () => {
+      const holders = new Set(names.map((name) => toBrand<InstanceId>(name)));
+      const fractions = { ...RATE_RULES, loans: DEFAULT_LOAN_TIMINGS };
+      const equal = replay(
+        names.map(() => ({ part: 1 / 8, holders })),
+        fractions,
+      );
+      const parts = names.map((name) => divide(name, 5) as RatePart);
+      const divided = replay(parts, RATE_RULES);
+      expect(divided).toBeGreaterThan(0.9);
+      // Equal parts with whole loans waste what no instance gathers, but are not starved.
+      expect(
+        replay(
+          names.map(() => ({ part: 1 / 8, holders })),
+          RATE_RULES,
+        ),
+      ).toBeLessThan(divided);
+      expect(divided).toBeLessThanOrEqual(1.03);
+      expect(equal).toBeLessThan(0.1);
+      expect(replay(parts, fractions)).toBeLessThan(0.1);
+    });
+  });
+
   it('never add up to more than the whole while instances come and go', () => {
     const books = new Map(
       ['a', 'b', 'c', 'd'].map((name) => [
