Pass over hosts that are stale, or whose address does not answer

After an outage of the store, instances that had regained it sent statements to hosts that had not, which refused them until the statements timed out. After the loss of all processes, statements for the members of a removed machine waited for its address.

Change: a refusal names whether the host's view is stale; the next host, and then this instance itself, is tried at once, since nothing was sent to the member. A request whose link is not open after 200 ms ends as not sent.

Tests replay both loads.

--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -70,6 +70,14 @@
   backlog: QueuedEnvelope[];
 }
 
+/** What a request needs of its link. */
+export interface ExchangeOptions {
+  /** Optional part of the protocol that the receiver must support. */
+  readonly feature?: string;
+  /** Maximum wait for the link to open, in milliseconds; the request is not sent after it. */
+  readonly connectTimeoutMs?: number;
+}
+
 /** A message, and the optional part of the protocol that its receiver must support. */
 interface QueuedEnvelope {
   readonly envelope: Envelope;
@@ -191,19 +199,22 @@
    * @param to - receiving instance
    * @param body - request
    * @param timeoutMs - maximum wait for the response, in milliseconds
-   * @param feature - optional part of the protocol that the receiver must support
+   * @param options - what the request needs of its link
    * @returns the response, or whether the request may have been received without one
    */
   async exchange(
     to: InstanceId,
     body: PeerBody,
     timeoutMs: number,
-    feature?: string,
+    { feature, connectTimeoutMs }: ExchangeOptions = {},
   ): Promise<PeerExchange> {
     const { id, exchange } = this.pendingRequests.add(to, timeoutMs, (expired) =>
       this.expireRequest(expired, to),
     );
     if (!this.post(to, { envelope: { ask: id, body }, feature })) this.pendingRequests.lose(id);
+    else if (connectTimeoutMs !== undefined && this.links.get(to)?.link.isReady === false) {
+      setTimeout(() => this.cancelUnsent(id, to), connectTimeoutMs);
+    }
     return exchange;
   }
 
@@ -345,13 +356,19 @@
     return true;
   }
 
-  private expireRequest(requestId: number, to: InstanceId): void {
+  /** Ends a request that still waits for its link, so that it is not sent once the link opens. */
+  private cancelUnsent(requestId: number, to: InstanceId): void {
     const outbound = this.links.get(to);
-    if (outbound !== undefined) {
-      // A request that its sender has given up must not be sent once the link opens.
-      outbound.backlog = outbound.backlog.filter(({ envelope }) => envelope.ask !== requestId);
-    }
+    if (outbound === undefined) return;
+    const { length } = outbound.backlog;
+    outbound.backlog = outbound.backlog.filter(({ envelope }) => envelope.ask !== requestId);
+    if (outbound.backlog.length < length) this.pendingRequests.lose(requestId);
+  }
+
+  private expireRequest(requestId: number, to: InstanceId): void {
+    this.cancelUnsent(requestId, to);
     this.pendingRequests.lose(requestId);
+    const outbound = this.links.get(to);
     if (outbound === undefined) return;
     outbound.unanswered += 1;
     const isSilent = performance.now() - outbound.heardAt >= MIN_LINK_SILENCE_MS;
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -250,7 +250,17 @@
     reason: z.string().optional(),
     /** For `refused`: the kind of refusal. */
     refusal: z
-      .enum(['timeout', 'unreachable', 'wrong-member', 'overloaded', 'closed', 'key', 'primary'])
+      .enum([
+        'timeout',
+        'unreachable',
+        'wrong-member',
+        'overloaded',
+        'closed',
+        'key',
+        'stale-key',
+        'stale-primary',
+        'primary',
+      ])
       .optional(),
     /** For `lost`: false only if the statement is certain not to have reached the member. */
     wasSent: z.boolean().optional(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -237,6 +237,7 @@
       hosts,
       localAccess,
       this.memberRegistry,
+      grantChecker,
       clock,
       log,
     );
--- a/packages/gateway/src/hosting/host-directory.ts
+++ b/packages/gateway/src/hosting/host-directory.ts
@@ -24,7 +24,7 @@
   retryDelayMs: toMilliseconds(250),
   leavingTtlMs: toMilliseconds(10_000),
 };
-/** Time for which the standby is used for a member that the host cannot reach. */
+/** Time for which the standby is used for a member that the host cannot serve. */
 const MEMBER_RETRY_DELAY_MS = 1000;
 
 /**
@@ -36,8 +36,8 @@
 
   private readonly hostsByMember = new Map<MemberId, readonly InstanceId[]>();
 
-  /** Members that a host could not reach, as `host/member`, with the time of the next attempt. */
-  private readonly unreachableUntil = new Map<string, Milliseconds>();
+  /** Members that a host could not serve, as `host/member`, with the time of the next attempt. */
+  private readonly unservedUntil = new Map<string, Milliseconds>();
 
   private candidatesByDomain: ReadonlyMap<string, readonly HostCandidate[]> | undefined;
 
@@ -72,10 +72,17 @@
     return resolveConnectionBudget(memberLimit, this.resolveRank(entry));
   }
 
-  /** Records that a host could not reach a member; the standby is used for it for a while. */
-  recordUnreachableMember(host: InstanceId, member: MemberId): void {
-    const until = toMilliseconds(this.clock.now() + MEMBER_RETRY_DELAY_MS);
-    this.unreachableUntil.set(formatPair(host, member), until);
+  /**
+   * Records that a host cannot serve a member; the next one is used for it for a while.
+   *
+   * @returns whether that was not known yet
+   */
+  recordUnservedMember(host: InstanceId, member: MemberId): boolean {
+    const now = this.clock.now();
+    const pair = formatPair(host, member);
+    const isNew = (this.unservedUntil.get(pair) ?? 0) <= now;
+    this.unservedUntil.set(pair, toMilliseconds(now + MEMBER_RETRY_DELAY_MS));
+    return isNew;
   }
 
   /**
@@ -97,7 +104,7 @@
   }
 
   private mayUse(host: InstanceId, member: MemberId, now: Milliseconds): boolean {
-    if ((this.unreachableUntil.get(formatPair(host, member)) ?? 0) > now) return false;
+    if ((this.unservedUntil.get(formatPair(host, member)) ?? 0) > now) return false;
     return host === this.self || this.availability.isAvailable(host, now);
   }
 
@@ -124,8 +131,8 @@
       if (!this.view.members.has(member)) this.hostsByMember.delete(member);
     }
     const now = this.clock.now();
-    for (const [pair, until] of this.unreachableUntil) {
-      if (until <= now) this.unreachableUntil.delete(pair);
+    for (const [pair, until] of this.unservedUntil) {
+      if (until <= now) this.unservedUntil.delete(pair);
     }
   }
 }
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -108,13 +108,16 @@
     check: PrimaryCheck,
   ): AccessRefusal | undefined {
     const code = this.grantChecker.findRefusal(credentials);
-    if (code !== undefined) return createRefusal('key', code, 'the key is not known to be valid');
+    if (code !== undefined) {
+      const reason = code === 'key-rejected' ? 'key' : 'stale-key';
+      return createRefusal(reason, code, 'the key is not known to be valid');
+    }
     if (waitFor !== undefined) return undefined;
-    const isPrimary =
-      check === 'confirmed'
-        ? this.memberRegistry.mayReadLatestAt(member)
-        : this.memberRegistry.isPrimary(member);
-    return isPrimary ? undefined : createRefusal('primary', 'busy', 'the primary is changing');
+    if (!this.memberRegistry.isPrimary(member)) {
+      return createRefusal('primary', 'busy', 'the primary is changing');
+    }
+    if (check === 'known' || this.memberRegistry.mayReadLatestAt(member)) return undefined;
+    return createRefusal('stale-primary', 'busy', 'the primary was not confirmed recently');
   }
 }
 
--- a/packages/gateway/src/hosting/member-access-router.ts
+++ b/packages/gateway/src/hosting/member-access-router.ts
@@ -1,11 +1,14 @@
-import type { Clock, InstanceId, MemberId } from '@heatherledge/core';
+import type { Clock, InstanceId } from '@heatherledge/core';
 import type { PeerHub } from '@heatherledge/daemon';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { EventLog } from '../runtime/event-log.js';
+import type { Credentials, GrantChecker } from '../sessions/grants.js';
 import type { HostDirectory } from './host-directory.js';
 import {
+  type AccessRefusal,
   type BeginRequest,
   type BeginResult,
+  type ConnectionRequest,
   createRefusal,
   type MemberAccess,
   type StatementRequest,
@@ -18,7 +21,10 @@
 /** Maximum wait for the response to a ping; a round trip between regions takes 24 ms. */
 const PING_TIMEOUT_MS = 250;
 
-/** Runs each statement at the host of its member: this instance or another one. */
+/**
+ * Runs each statement at the host of its member: this instance or another one. A statement that a
+ * host refused without sending it is tried at the next host at once.
+ */
 export class MemberAccessRouter implements MemberAccess {
   private readonly remotes = new Map<InstanceId, RemoteMemberAccess>();
 
@@ -30,6 +36,7 @@
     private readonly directory: HostDirectory,
     private readonly local: MemberAccess,
     private readonly memberRegistry: MemberRegistry,
+    private readonly grantChecker: GrantChecker,
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
@@ -51,26 +58,43 @@
   }
 
   async run(request: StatementRequest): Promise<StatementResult> {
-    return this.callHost(request.member, async (access) => access.run(request));
+    return this.callHost(request, async (access, remaining) => access.run(remaining));
   }
 
   async begin(request: BeginRequest): Promise<BeginResult> {
-    return this.callHost(request.member, async (access) => access.begin(request));
+    return this.callHost(request, async (access, remaining) => access.begin(remaining));
   }
 
-  private async callHost<Result extends StatementResult | BeginResult>(
-    member: MemberId,
-    call: (access: MemberAccess) => Promise<Result>,
-  ): Promise<Result | ReturnType<typeof createRefusal>> {
-    const entry = this.memberRegistry.findEntry(member);
-    if (entry === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
-    const host = this.directory.findHost(entry);
-    const result = await call(host === this.self ? this.local : this.getRemote(host));
-    if (result.kind === 'refused' && result.reason === 'unreachable') {
-      this.directory.recordUnreachableMember(host, member);
-      this.log.info('host.member.unreachable', { host, member, reason: result.text });
+  private async callHost<
+    Request extends ConnectionRequest,
+    Result extends StatementResult | BeginResult,
+  >(
+    request: Request,
+    call: (access: MemberAccess, request: Request) => Promise<Result>,
+  ): Promise<Result | AccessRefusal> {
+    const { member, credentials, timeoutMs } = request;
+    const deadline = this.clock.now() + timeoutMs;
+    for (;;) {
+      const entry = this.memberRegistry.findEntry(member);
+      if (entry === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
+      const remaining = { ...request, timeoutMs: deadline - this.clock.now() };
+      const host = this.directory.findHost(entry);
+      if (host === this.self) return call(this.local, remaining);
+      const result = await call(this.getRemote(host), remaining);
+      if (result.kind !== 'refused' || !this.mayServeElsewhere(result, credentials)) return result;
+      const { reason, text } = result;
+      const isNew = this.directory.recordUnservedMember(host, member);
+      if (isNew) this.log.info('host.member.unserved', { host, member, reason, text });
     }
-    return result;
+  }
+
+  /**
+   * Checks whether another instance may serve what a host refused: the host cannot reach the member,
+   * or knows less of the store than this instance.
+   */
+  private mayServeElsewhere({ reason }: AccessRefusal, credentials: Credentials): boolean {
+    if (reason === 'key') return this.grantChecker.findRefusal(credentials) === undefined;
+    return reason === 'unreachable' || reason === 'stale-key' || reason === 'stale-primary';
   }
 
   private getRemote(host: InstanceId): RemoteMemberAccess {
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -41,8 +41,12 @@
 /** Why a request was refused before anything was sent to the member. */
 export type RefusalReason =
   | AcquireFailure
-  /** The key is not known to be valid. */
+  /** The key is not valid according to this instance's settings. */
   | 'key'
+  /** The settings were not confirmed recently enough to check the key; another instance's may be. */
+  | 'stale-key'
+  /** The primary was not confirmed recently enough; another instance may have confirmed it. */
+  | 'stale-primary'
   /** The member is not known to be the primary. */
   | 'primary';
 
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -23,6 +23,9 @@
 /** Added to a statement's own timeout for the round trip to the host. */
 const HOST_ROUND_TRIP_ALLOWANCE_MS = 60;
 
+/** Three round trips between regions take 72 ms; a host that takes longer is probably gone. */
+const LINK_OPEN_TIMEOUT_MS = 200;
+
 /**
  * Runs statements at members that another instance hosts. A statement that may have reached the host
  * and has no result is lost, and never sent again from here.
@@ -110,7 +113,7 @@
       host,
       body,
       Math.max(1, timeoutMs) + HOST_ROUND_TRIP_ALLOWANCE_MS,
-      MEMBER_HOSTING_FEATURE,
+      { feature: MEMBER_HOSTING_FEATURE, connectTimeoutMs: LINK_OPEN_TIMEOUT_MS },
     );
     const now = clock.now();
     load?.recordEnd();
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -140,21 +140,14 @@
     const request = createConnectionRequest(placement, grant, state, deadline - clock.now());
     const result = await memberAccess.run({ ...request, access: 'read', statement });
     return result.kind === 'refused'
-      ? this.handleRefusal(result, placement.member, grant)
+      ? this.handleRefusal(result, placement.member)
       : this.handleExchange(result, placement.member);
   }
 
-  private handleRefusal(
-    { reason, code, text }: AccessRefusal,
-    member: MemberId,
-    grant: Grant,
-  ): Attempt {
+  private handleRefusal({ reason, code, text }: AccessRefusal, member: MemberId): Attempt {
     if (reason === 'overloaded') return { kind: 'overloaded', code, text };
     if (reason === 'unreachable') this.services.memberRegistry.recordUnreachable(member);
-    // The host of the member may have older settings than this instance, whose check decides.
-    const isRefusedHere =
-      reason === 'key' && this.services.grantChecker.findRefusal(grant) !== undefined;
-    return { kind: isRefusedHere ? 'final' : 'retry', code: isRefusedHere ? code : 'busy', text };
+    return { kind: reason === 'key' || reason === 'stale-key' ? 'final' : 'retry', code, text };
   }
 
   private handleExchange(exchange: ExchangeResult, member: MemberId): Attempt {
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -189,13 +189,9 @@
   }
 
   private handleRefusal({ reason, code, text }: AccessRefusal, member: MemberId): WireError {
-    const { memberRegistry, grantChecker } = this.services;
+    const { memberRegistry } = this.services;
     this.isOverloaded = reason === 'overloaded' && !this.isReadOnly;
     if (reason === 'unreachable') memberRegistry.recordUnreachable(member);
-    // The host of the member may have older settings than this instance, whose check decides.
-    if (reason === 'key' && grantChecker.findRefusal(this.grant) === undefined) {
-      return { code: 'busy', text };
-    }
     return { code, text };
   }
 
--- a/packages/gateway/src/sessions/write-executor.ts
+++ b/packages/gateway/src/sessions/write-executor.ts
@@ -1,5 +1,5 @@
 import { delay } from '@heatherledge/daemon';
-import type { AccessRefusal } from '../hosting/member-access.js';
+import type { AccessRefusal, RefusalReason } from '../hosting/member-access.js';
 import type { ExchangeResult } from '../members/member-connection.js';
 import type { StatementReply } from '../ports/caller-protocol.js';
 import type { Grant } from './grants.js';
@@ -17,6 +17,9 @@
 /** Error codes of a member for a write that did not run and may succeed if it is retried. */
 const RETRYABLE_CODES = new Set(['busy', 'read-only', 'lagging', 'unknown-name', 'wrong-member']);
 
+/** Refusals that another attempt would meet as well. */
+const FINAL_REFUSALS: ReadonlySet<RefusalReason> = new Set(['overloaded', 'key', 'stale-key']);
+
 /** Runs writes outside transactions at the primary; a write that may have run is never retried. */
 export class WriteExecutor {
   constructor(private readonly services: SessionServices) {}
@@ -60,24 +63,10 @@
     const request = createConnectionRequest(placement, grant, state, deadline - clock.now());
     const result = await memberAccess.run({ ...request, access: 'write', statement });
     return result.kind === 'refused'
-      ? this.handleRefusal(result, grant)
+      ? handleRefusal(result)
       : this.handleExchange(result, grant, state);
   }
 
-  private handleRefusal(
-    { reason, code, text }: AccessRefusal,
-    grant: Grant,
-  ): { readonly isFinal: boolean; readonly reply: StatementReply } {
-    if (reason === 'overloaded') {
-      return { isFinal: true, reply: createErrorReply(code, text, 'idle') };
-    }
-    // The host of the member may have older settings than this instance, whose check decides.
-    if (reason === 'key' && this.services.grantChecker.findRefusal(grant) !== undefined) {
-      return { isFinal: true, reply: createErrorReply(code, text, 'idle') };
-    }
-    return createRetryableRefusal(text);
-  }
-
   private handleExchange(
     exchange: ExchangeResult,
     grant: Grant,
@@ -103,3 +92,10 @@
 } {
   return { isFinal: false, reply: createErrorReply('busy', text, 'idle') };
 }
+
+function handleRefusal({ reason, code, text }: AccessRefusal): {
+  readonly isFinal: boolean;
+  readonly reply: StatementReply;
+} {
+  return { isFinal: FINAL_REFUSALS.has(reason), reply: createErrorReply(code, text, 'idle') };
+}
--- a/packages/gateway/test/hosting/hosted-statements.test.ts
+++ b/packages/gateway/test/hosting/hosted-statements.test.ts
@@ -1,3 +1,4 @@
+import { type AddressInfo, createServer } from 'node:net';
 import { MEMBER_HOSTING_FEATURE, type PeerBody, type PeerHub } from '@heatherledge/daemon';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { EMPTY_REPLY } from '../fixtures/fake-connector.js';
@@ -95,13 +96,28 @@
       expect(pair.hostHub.counts.messagesReceived).toBe(1);
     });
 
+    /**
+     * Load pattern: a fleet restarts while the machine of a host is gone for good. Its address does
+     * not answer, and statements must not wait for it until their own timeouts.
+     */
+    it('end as not run soon after the address of the host does not answer', async () => {
+      const silent = createServer();
+      const port = await new Promise<number>((resolve) => {
+        silent.listen(0, '127.0.0.1', () => resolve((silent.address() as AddressInfo).port));
+      });
+      pair.setPort(pair.host, port);
+      const startedAt = performance.now();
+      const result = await pair.remote.run(createStatementRequest({ timeoutMs: 5000 }));
+      expect(result).toMatchObject({ kind: 'refused', reason: 'unreachable' });
+      expect(performance.now() - startedAt).toBeLessThan(800);
+      pair.entryHub.stop();
+      silent.close();
+    });
+
     it('are not sent to an instance of a version that does not host members', async () => {
-      const exchange = await pair.entryHub.exchange(
-        pair.host,
-        { kind: 'peer.ping' },
-        1000,
-        `${MEMBER_HOSTING_FEATURE}-of-a-later-version`,
-      );
+      const exchange = await pair.entryHub.exchange(pair.host, { kind: 'peer.ping' }, 1000, {
+        feature: `${MEMBER_HOSTING_FEATURE}-of-a-later-version`,
+      });
       expect(exchange).toEqual({ kind: 'lost', wasSent: false });
       expect(pair.hostHub.counts.messagesReceived).toBe(0);
     });
--- /dev/null
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -0,0 +1,184 @@
+import {
+  ConfirmationTracker,
+  type InstanceId,
+  ManualClock,
+  type MemberEntry,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
+import type { PeerBody, PeerExchange, PeerHub } from '@heatherledge/daemon';
+import { err } from 'neverthrow';
+import { beforeEach, describe, expect, it } from 'vitest';
+import {
+  encodeRecord,
+  encodeResult,
+  EventLog,
+  FleetView,
+  formatInstanceKey,
+  HostDirectory,
+  createRefusal,
+  type ErrorCode,
+  MemberAccessRouter,
+  type MemberAccess,
+  type MemberRegistry,
+  type RefusalReason,
+  type StatementResult,
+  type StoreRevision,
+} from '../../src/index.js';
+import { EMPTY_REPLY } from '../fixtures/fake-connector.js';
+import { createStatementRequest, MEMBER } from '../fixtures/hosting-pair.js';
+
+const INSTANCES = ['i0', 'i1', 'i2', 'i3'].map((id) => toBrand<InstanceId>(id));
+const ENTRY = { id: MEMBER, group: toBrand('g'), failureDomain: 'a' } as MemberEntry;
+const SERVED: StatementResult = {
+  kind: 'answered',
+  reply: { ...EMPTY_REPLY, signature: 'sig' },
+  sentAt: toMilliseconds(0),
+};
+
+describe('MemberAccessRouter', () => {
+  let clock: ManualClock;
+  let directory: HostDirectory;
+  let router: MemberAccessRouter;
+  let ownRefusal: ErrorCode | undefined;
+  /** Instances that statements were sent to, in order; the own instance is `local`. */
+  let calls: string[];
+  let respond: (host: InstanceId) => StatementResult | PeerExchange;
+
+  /** The host and the standby, seen by an instance that is neither. */
+  let hosts: readonly InstanceId[];
+
+  beforeEach(() => {
+    clock = new ManualClock(1000);
+    calls = [];
+    ownRefusal = undefined;
+    respond = () => SERVED;
+    const limit = toMilliseconds(1000);
+    const view = new FleetView(
+      {
+        settingsKey: 's',
+        membersPrefix: 'm/',
+        decodeSettings: () => err('none'),
+        decodeMember: () => err('none'),
+      },
+      new ConfirmationTracker({
+        maxKeyedAgeMs: limit,
+        maxPrimaryAgeMs: limit,
+        maxReadyAgeMs: limit,
+      }),
+      new EventLog(clock),
+    );
+    const revision = 1 as StoreRevision;
+    view.replace(
+      INSTANCES.map((id) => ({
+        key: formatInstanceKey(id),
+        value: encodeRecord({ host: 'h', peerPort: 1, domain: 'a', cores: 1 }),
+        revision,
+        createdRevision: revision,
+      })),
+    );
+    hosts = new HostDirectory(INSTANCES[0] as InstanceId, view, clock).listHosts(ENTRY);
+    const self = INSTANCES.find((id) => !hosts.includes(id)) as InstanceId;
+    directory = new HostDirectory(self, view, clock);
+    const hub = {
+      handle() {},
+      exchange: async (to: InstanceId, body: PeerBody): Promise<PeerExchange> => {
+        calls.push(to);
+        if (body.kind === 'peer.ping') return { kind: 'lost', wasSent: true };
+        const response = respond(to);
+        if (response.kind === 'lost' && 'wasSent' in response && !('reason' in response)) {
+          return response;
+        }
+        return { kind: 'answered', body: encodeResult(response as StatementResult, 0) };
+      },
+    } as unknown as PeerHub;
+    const local: MemberAccess = {
+      run: async () => {
+        calls.push('local');
+        return SERVED;
+      },
+      begin: async () => createRefusal('closed'),
+    };
+    const registry = {
+      findEntry: () => ENTRY,
+      findLoad: () => undefined,
+      recordReply() {},
+    } as unknown as MemberRegistry;
+    const grantChecker = { findRefusal: () => ownRefusal };
+    const log = new EventLog(clock);
+    router = new MemberAccessRouter(
+      self,
+      hub,
+      directory,
+      local,
+      registry,
+      grantChecker,
+      clock,
+      log,
+    );
+  });
+
+  it('sends statements to the host of their member', async () => {
+    expect((await router.run(createStatementRequest())).kind).toBe('answered');
+    expect(calls).toEqual([hosts[0]]);
+  });
+
+  /**
+   * Load pattern: the store was out of reach, and most instances have not confirmed their view since.
+   * An instance that has serves its callers, although the hosts of its members cannot.
+   */
+  describe('while hosts know less of the store than this instance', () => {
+    it.each<RefusalReason>(['stale-key', 'stale-primary', 'key', 'unreachable'])(
+      'serves by itself what both hosts refuse as %s',
+      async (reason) => {
+        respond = () => createRefusal(reason);
+        expect((await router.run(createStatementRequest())).kind).toBe('answered');
+        expect(calls).toEqual([...hosts, 'local']);
+        expect((await router.run(createStatementRequest())).kind).toBe('answered');
+        expect(calls.slice(3)).toEqual(['local']);
+      },
+    );
+
+    it('tries the hosts again after a while', async () => {
+      respond = () => createRefusal('stale-key');
+      await router.run(createStatementRequest());
+      respond = () => SERVED;
+      clock.advance(1100);
+      await router.run(createStatementRequest());
+      expect(calls.at(-1)).toBe(hosts[0]);
+    });
+  });
+
+  it('accepts the refusal of a key that this instance refuses, too', async () => {
+    ownRefusal = 'key-rejected';
+    respond = () => createRefusal('key', 'key-rejected');
+    expect(await router.run(createStatementRequest())).toMatchObject({ code: 'key-rejected' });
+    expect(calls).toEqual([hosts[0]]);
+  });
+
+  it('does not avoid the queue of an overloaded member by another host', async () => {
+    respond = () => createRefusal('overloaded');
+    expect(await router.run(createStatementRequest())).toMatchObject({ reason: 'overloaded' });
+    expect(calls).toEqual([hosts[0]]);
+  });
+
+  describe('lost requests', () => {
+    it('that may have run are not sent to another host', async () => {
+      respond = () => ({ kind: 'lost', wasSent: true });
+      expect(await router.run(createStatementRequest())).toMatchObject({ kind: 'lost' });
+      expect(calls).toEqual([hosts[0]]);
+    });
+
+    it('that never left this instance are sent to the standby at once', async () => {
+      respond = (host) => (host === hosts[0] ? { kind: 'lost', wasSent: false } : SERVED);
+      expect((await router.run(createStatementRequest())).kind).toBe('answered');
+      expect(calls).toEqual([...hosts]);
+    });
+  });
+
+  it('sends nothing new to a host that has announced its stop', async () => {
+    directory.availability.recordLeaving(hosts[0] as InstanceId, clock.now());
+    await router.run(createStatementRequest());
+    expect(calls).toEqual([hosts[1]]);
+  });
+});
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -75,6 +75,7 @@
       },
       findPool: () => pool,
       listReaders: () => [],
+      isPrimary: () => true,
       mayReadLatestAt: () => true,
     } as unknown as MemberRegistry;
     const services = {
