--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -8,6 +8,7 @@
   type PeerLinkListener,
 } from './peer-link.js';
 import type { Envelope, PeerBody, PeerBodyOf, PeerMessageKind } from './peer-messages.js';
+import { OutboundLink, type OutboundLinkListener, type QueuedEnvelope } from './outbound-link.js';
 import { type PeerExchange, PendingRequests } from './pending-requests.js';
 
 /**
@@ -49,27 +50,6 @@
 
 const LINK_IDLE_TIMEOUT_MS = 60_000;
 const IDLE_CHECK_INTERVAL_MS = 15_000;
-/** Requests in a row without a response after which a silent link is replaced. */
-const MAX_UNANSWERED_REQUESTS = 2;
-/**
- * Silence after which a link may be replaced, which ends the requests under way on it; the other
- * instance may only have been suspended for a moment.
- */
-const MIN_LINK_SILENCE_MS = 1000;
-
-/** A link that this instance opened. */
-interface OutboundLink {
-  link: PeerLink;
-  /** Time of the last message in either direction. */
-  usedAt: number;
-  /** Time of the last message from the other instance, or of the link's opening. */
-  heardAt: number;
-  /** Requests in a row that timed out. */
-  unanswered: number;
-  /** Messages to be sent once the handshake is done. */
-  backlog: QueuedEnvelope[];
-}
-
 /** What a request needs of its link. */
 export interface ExchangeOptions {
   /** Optional part of the protocol that the receiver must support. */
@@ -78,20 +58,11 @@
   readonly connectTimeoutMs?: number;
 }
 
-/** A message, and the optional part of the protocol that its receiver must support. */
-interface QueuedEnvelope {
-  readonly envelope: Envelope;
-  readonly feature: string | undefined;
-}
-
-/** Messages buffered for a link that is being opened; further ones are dropped. */
-const MAX_BACKLOG_MESSAGES = 64;
-
 /**
  * Exchanges messages with other instances: opens links on demand, closes idle ones and matches
  * responses to requests.
  */
-export class PeerHub implements PeerLinkListener {
+export class PeerHub implements PeerLinkListener, OutboundLinkListener {
   readonly counts: PeerCounts = {
     bytesSent: 0,
     bytesReceived: 0,
@@ -242,18 +213,13 @@
 
   onReady(link: PeerLink): void {
     const outbound = link.peer === undefined ? undefined : this.links.get(link.peer);
-    if (outbound?.link !== link) return;
-    for (const queued of outbound.backlog.splice(0)) this.writeRequest(link, queued);
+    if (outbound?.link === link) outbound.flush();
   }
 
   onMessage(link: PeerLink, envelope: Envelope): void {
     this.counts.messagesReceived += 1;
     const outbound = link.peer === undefined ? undefined : this.links.get(link.peer);
-    if (outbound !== undefined) {
-      outbound.unanswered = 0;
-      outbound.usedAt = performance.now();
-      outbound.heardAt = outbound.usedAt;
-    }
+    if (outbound !== undefined) outbound.recordHeard();
     if (envelope.answer !== undefined) this.pendingRequests.answer(envelope.answer, envelope.body);
     else void this.dispatch(link, envelope);
   }
@@ -310,15 +276,18 @@
     }
   }
 
+  onSent({ ask }: Envelope): void {
+    this.counts.messagesSent += 1;
+    if (ask !== undefined) this.pendingRequests.markSent(ask);
+  }
+
+  onUnsupported({ ask }: Envelope): void {
+    if (ask !== undefined) this.pendingRequests.lose(ask);
+  }
+
   /** @returns false if the message cannot be sent: the instance is unknown, dead or too old */
   private post(to: InstanceId, queued: QueuedEnvelope): boolean {
-    const outbound = this.links.get(to) ?? this.openLink(to);
-    if (outbound === undefined) return false;
-    outbound.usedAt = performance.now();
-    if (outbound.link.isReady) return this.writeRequest(outbound.link, queued);
-    if (outbound.backlog.length >= MAX_BACKLOG_MESSAGES) return false;
-    outbound.backlog.push(queued);
-    return true;
+    return (this.links.get(to) ?? this.openLink(to))?.post(queued) ?? false;
   }
 
   private openLink(to: InstanceId): OutboundLink | undefined {
@@ -333,8 +302,7 @@
       if (error.code === 'ECONNREFUSED') this.refusedAt.set(to, performance.now());
     });
     const link = new PeerLink(socket, this.identity, this, true);
-    const now = performance.now();
-    const outbound = { link, usedAt: now, heardAt: now, unanswered: 0, backlog: [] };
+    const outbound = new OutboundLink(link, this);
     this.links.set(to, outbound);
     return outbound;
   }
@@ -344,36 +312,16 @@
     link.send(envelope);
   }
 
-  /** @returns false if the receiver does not support the message, which is then not sent */
-  private writeRequest(link: PeerLink, { envelope, feature }: QueuedEnvelope): boolean {
-    const { ask } = envelope;
-    if (feature !== undefined && !link.features.includes(feature)) {
-      if (ask !== undefined) this.pendingRequests.lose(ask);
-      return false;
-    }
-    if (ask !== undefined) this.pendingRequests.markSent(ask);
-    this.write(link, envelope);
-    return true;
-  }
-
   /** Ends a request that still waits for its link, so that it is not sent once the link opens. */
   private cancelUnsent(requestId: number, to: InstanceId): void {
-    const outbound = this.links.get(to);
-    if (outbound === undefined) return;
-    const { length } = outbound.backlog;
-    outbound.backlog = outbound.backlog.filter(({ envelope }) => envelope.ask !== requestId);
-    if (outbound.backlog.length < length) this.pendingRequests.lose(requestId);
+    if (this.links.get(to)?.cancel(requestId)) this.pendingRequests.lose(requestId);
   }
 
   private expireRequest(requestId: number, to: InstanceId): void {
     this.cancelUnsent(requestId, to);
     this.pendingRequests.lose(requestId);
     const outbound = this.links.get(to);
-    if (outbound === undefined) return;
-    outbound.unanswered += 1;
-    const isSilent = performance.now() - outbound.heardAt >= MIN_LINK_SILENCE_MS;
-    if (!isSilent || outbound.unanswered < MAX_UNANSWERED_REQUESTS) return;
-    // This connection may be dead without having been closed, while a new one would work.
+    if (outbound === undefined || !outbound.recordUnanswered()) return;
     this.links.delete(to);
     outbound.link.close();
     this.pendingRequests.loseAll(to);
