Give the slots of a member by one queue at its host

Cause: a host sent everything at once to a member that runs two statements; what exceeded the member's short queue came back as busy and was retried at random, without priority between routes or turns between organisations.

Change: MemberSlotQueue in core lets one statement more than the member's slots through, then the most urgent, with organisations in turns; it refuses at arrival what would wait too long. Statements of open transactions come first. Connections are acquired inside a slot, so handshakes count as work.

--- /dev/null
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -0,0 +1,129 @@
+import { FairQueue, type QueueTicket } from '../fairness/fair-queue.js';
+import { WaitEstimator } from '../serving/wait-estimator.js';
+import type { Milliseconds, OrganisationId } from '../types/ids.js';
+
+/**
+ * Statements beyond its slots that a member gets at the same time, so that a slot is not idle for a
+ * round trip to the host.
+ */
+const PIPELINED_STATEMENTS = 1;
+/** Maximum number of statements that wait, of one organisation and of all. */
+const QUEUE_BOUNDS = { perOrganisation: 48, total: 96 };
+/** Every organisation has the same weight in the queue. */
+const ORGANISATION_WEIGHT = 1;
+
+/** A statement that needs a slot. */
+export interface SlotRequest {
+  /** Undefined for callers without a valid key, which share one place in the queue. */
+  readonly organisation: OrganisationId | undefined;
+  /** Lower values are served first; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time at which the statement expires. */
+  readonly deadline: Milliseconds;
+  /** The statement is refused at once if its estimated wait is longer, in milliseconds. */
+  readonly maxEstimatedWaitMs: number;
+}
+
+/** Decision on a statement that needs a slot. */
+export type SlotDecision =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'queued'; readonly ticket: SlotTicket }
+  | { readonly kind: 'refused' };
+
+/** Identifies a waiting statement. */
+export interface SlotTicket {
+  readonly priority: number;
+  readonly ticket: QueueTicket;
+}
+
+/** Organisation of callers without a valid key. */
+const ANONYMOUS = '' as OrganisationId;
+
+/**
+ * Decides which statement runs next at a member.
+ *
+ * Load pattern: replicas lag, so all reads of a group go to its primary, and one organisation sends
+ * several times its usual number. A member that gets everything at once runs statements in the order
+ * of their arrival and refuses what its own short queue does not hold, at random. Here the most urgent
+ * statements run first, organisations take turns, and a statement that would wait too long is refused
+ * at its arrival, so that another member can serve it or its caller knows at once.
+ */
+export class MemberSlotQueue {
+  private running = 0;
+
+  private readonly queues = new Map<number, FairQueue>();
+
+  private readonly waitEstimator = new WaitEstimator();
+
+  /** @param slots - statements that the member runs at the same time */
+  constructor(private readonly slots: number) {}
+
+  /** @returns number of statements that run or wait */
+  get pending(): number {
+    return this.running + this.countWaiting();
+  }
+
+  /**
+   * Requests a slot.
+   *
+   * @param request - the statement
+   * @param now - current time
+   * @returns whether it may run now, waits, or is refused
+   */
+  request(request: SlotRequest, now: Milliseconds): SlotDecision {
+    const { organisation = ANONYMOUS, priority, deadline, maxEstimatedWaitMs } = request;
+    if (this.running < this.slots + PIPELINED_STATEMENTS && this.countWaiting() === 0) {
+      this.running += 1;
+      return { kind: 'granted' };
+    }
+    const waitMs = this.estimateWait(organisation, priority, now);
+    if (waitMs > Math.min(maxEstimatedWaitMs, deadline - now)) return { kind: 'refused' };
+    const queue = this.queues.get(priority) ?? new FairQueue(QUEUE_BOUNDS);
+    this.queues.set(priority, queue);
+    const ticket = queue.push(organisation, ORGANISATION_WEIGHT, deadline);
+    return ticket === undefined
+      ? { kind: 'refused' }
+      : { kind: 'queued', ticket: { priority, ticket } };
+  }
+
+  /**
+   * Releases a slot.
+   *
+   * @returns the waiting statement that runs next, if there is one
+   */
+  release(now: Milliseconds): SlotTicket | undefined {
+    const next = this.shift();
+    if (next === undefined) this.running -= 1;
+    else this.waitEstimator.recordDequeue(now, this.countWaiting() > 0);
+    return next;
+  }
+
+  /** Removes a statement that no longer waits. */
+  cancel({ priority, ticket }: SlotTicket): void {
+    this.queues.get(priority)?.remove(ticket);
+  }
+
+  private shift(): SlotTicket | undefined {
+    const priorities = [...this.queues.keys()].sort((left, right) => left - right);
+    for (const priority of priorities) {
+      const ticket = this.queues.get(priority)?.shift();
+      if (ticket !== undefined) return { priority, ticket };
+    }
+    return undefined;
+  }
+
+  private estimateWait(organisation: OrganisationId, priority: number, now: Milliseconds): number {
+    let ahead = 0;
+    for (const [other, queue] of this.queues) {
+      if (other < priority) ahead += queue.size;
+      else if (other === priority) ahead += queue.countAhead(organisation);
+    }
+    return this.waitEstimator.estimateWait(ahead, now);
+  }
+
+  private countWaiting(): number {
+    let count = 0;
+    for (const queue of this.queues.values()) count += queue.size;
+    return count;
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,5 +44,6 @@
 export * from './hosting/choose-member-hosts.js';
 export * from './hosting/host-availability.js';
 export * from './hosting/member-load.js';
+export * from './hosting/member-slot-queue.js';
 export * from './failover/choose-observers.js';
 export * from './serving/call-pacer.js';
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,8 +1,9 @@
-import type { Clock } from '@heatherledge/core';
+import type { Clock, Milliseconds } from '@heatherledge/core';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
+import type { SlotGate } from './slot-gate.js';
 import {
   type AccessRefusal,
   type BeginRequest,
@@ -19,6 +20,12 @@
 /** Timeout of a rollback; the connection is dropped after that, which rolls back as well. */
 const ROLLBACK_TIMEOUT_MS = 1000;
 
+/**
+ * Maximum wait for a connection while a slot is held. A new connection takes 12 ms; a longer wait
+ * means that transactions hold all connections, and other statements need the slot.
+ */
+const MAX_CONNECTION_WAIT_IN_SLOT_MS = 100;
+
 /** How certain this instance must be of the primary before a request is sent to it. */
 type PrimaryCheck =
   /** The member must be the known primary. */
@@ -39,35 +46,56 @@
 
   async run(request: StatementRequest): Promise<StatementResult> {
     const startedAt = this.clock.now();
-    const check = request.access === 'read' ? 'confirmed' : 'known';
-    const acquired = await this.acquire(request, check);
+    const gate = this.memberRegistry.findSlotGate(request.member);
+    if (gate === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
+    const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
+    const { organisation } = credentials;
+    const admitted = await gate.acquire({ organisation, priority, maxEstimatedWaitMs, waitMs });
+    if (admitted !== 'granted') return createRefusal(admitted);
+    try {
+      return await this.runInSlot(request, startedAt);
+    } finally {
+      gate.release();
+    }
+  }
+
+  async begin(request: BeginRequest): Promise<BeginResult> {
+    const startedAt = this.clock.now();
+    const acquired = await this.acquire(request, 'confirmed');
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
-    const { requestId, text, prepared } = request.statement;
     const result = await connection.exchangeInSession(
       { values: request.values },
-      prepared,
-      { kind: 'forward', requestId, text, waitFor: request.waitFor },
+      undefined,
+      { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
       request.timeoutMs - (this.clock.now() - startedAt),
     );
+    if (result.kind === 'answered' && result.reply.error === undefined) {
+      const gate = this.memberRegistry.findSlotGate(request.member);
+      const transaction = new LocalMemberTransaction(pool, connection, gate, request);
+      return { kind: 'open', transaction };
+    }
     pool.release(connection);
     return result;
   }
 
-  async begin(request: BeginRequest): Promise<BeginResult> {
-    const startedAt = this.clock.now();
-    const acquired = await this.acquire(request, 'confirmed');
+  private async runInSlot(
+    request: StatementRequest,
+    startedAt: Milliseconds,
+  ): Promise<StatementResult> {
+    const check = request.access === 'read' ? 'confirmed' : 'known';
+    const remainingMs = request.timeoutMs - (this.clock.now() - startedAt);
+    const timeoutMs = Math.min(MAX_CONNECTION_WAIT_IN_SLOT_MS, remainingMs);
+    const acquired = await this.acquire({ ...request, timeoutMs }, check);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
+    const { requestId, text, prepared } = request.statement;
     const result = await connection.exchangeInSession(
       { values: request.values },
-      undefined,
-      { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
+      prepared,
+      { kind: 'forward', requestId, text, waitFor: request.waitFor },
       request.timeoutMs - (this.clock.now() - startedAt),
     );
-    if (result.kind === 'answered' && result.reply.error === undefined) {
-      return { kind: 'open', transaction: new LocalMemberTransaction(pool, connection) };
-    }
     pool.release(connection);
     return result;
   }
@@ -121,6 +149,9 @@
   }
 }
 
+/** Statements of open transactions run before those that have not begun, which hold nothing. */
+const OPEN_TRANSACTION_PRIORITY = -1;
+
 /** A transaction on one of this instance's own connections. */
 class LocalMemberTransaction implements MemberTransaction {
   private isEnded = false;
@@ -128,9 +159,34 @@
   constructor(
     private readonly pool: MemberPool,
     private readonly connection: MemberConnection,
+    private readonly gate: SlotGate | undefined,
+    private readonly request: BeginRequest,
   ) {}
 
   async run(
+    statement: MemberStatement,
+    values: ReadonlyMap<string, string>,
+    timeoutMs: number,
+  ): Promise<ExchangeResult> {
+    const { credentials } = this.request;
+    // A statement of an open transaction is not refused for its wait: the work done would be lost.
+    const admitted = await this.gate?.acquire({
+      organisation: credentials.organisation,
+      priority: OPEN_TRANSACTION_PRIORITY,
+      maxEstimatedWaitMs: timeoutMs,
+      waitMs: timeoutMs,
+    });
+    if (admitted !== undefined && admitted !== 'granted') {
+      return { kind: 'lost', reason: `no slot: ${admitted}`, wasSent: false };
+    }
+    try {
+      return await this.runInSlot(statement, values, timeoutMs);
+    } finally {
+      this.gate?.release();
+    }
+  }
+
+  private async runInSlot(
     { requestId, text, prepared }: MemberStatement,
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
--- a/packages/gateway/src/hosting/member-host-server.ts
+++ b/packages/gateway/src/hosting/member-host-server.ts
@@ -151,7 +151,7 @@
   }
 
   private encode(result: StatementResult, member: MemberId): MemberResult {
-    return encodeResult(result, this.memberRegistry.findPool(member)?.pending ?? 0);
+    return encodeResult(result, this.memberRegistry.findSlotGate(member)?.pending ?? 0);
   }
 
   private startIdleTimer(hosted: HostedTransaction, link: PeerLink, transaction: number): void {
--- /dev/null
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -0,0 +1,90 @@
+import {
+  type Clock,
+  MemberSlotQueue,
+  type SlotRequest,
+  type SlotTicket,
+  toMilliseconds,
+} from '@heatherledge/core';
+
+/** How a request for a slot ended. */
+export type SlotResult = 'granted' | 'overloaded' | 'timeout';
+
+/** What a statement tells of itself to get a slot. */
+export type GateRequest = Omit<SlotRequest, 'deadline'> & {
+  /** Maximum wait, in milliseconds. */
+  readonly waitMs: number;
+};
+
+interface Waiter {
+  readonly ticket: SlotTicket;
+  readonly resolve: (result: SlotResult) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Lets statements of this instance and of others through to one member, as slots become free. */
+export class SlotGate {
+  private readonly queue: MemberSlotQueue;
+
+  private readonly waiters = new Map<string, Waiter>();
+
+  /**
+   * @param slots - statements that the member runs at the same time
+   * @param clock - source of time
+   */
+  constructor(
+    slots: number,
+    private readonly clock: Clock,
+  ) {
+    this.queue = new MemberSlotQueue(slots);
+  }
+
+  /** @returns number of statements that run or wait */
+  get pending(): number {
+    return this.queue.pending;
+  }
+
+  /**
+   * Waits for a slot, which the caller must release if it is granted.
+   *
+   * @param request - the statement
+   * @returns whether the statement may run
+   */
+  async acquire({ waitMs, ...request }: GateRequest): Promise<SlotResult> {
+    const now = this.clock.now();
+    const decision = this.queue.request(
+      { ...request, deadline: toMilliseconds(now + waitMs) },
+      now,
+    );
+    if (decision.kind === 'granted') return 'granted';
+    if (decision.kind === 'refused') return 'overloaded';
+    const { ticket } = decision;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.expire(ticket), Math.max(1, waitMs));
+      this.waiters.set(formatTicket(ticket), { ticket, resolve, timer });
+    });
+  }
+
+  /** Releases a slot. */
+  release(): void {
+    const next = this.queue.release(this.clock.now());
+    if (next !== undefined) this.settle(next, 'granted');
+  }
+
+  private expire(ticket: SlotTicket): void {
+    this.queue.cancel(ticket);
+    this.settle(ticket, 'timeout');
+  }
+
+  private settle(ticket: SlotTicket, result: SlotResult): void {
+    const key = formatTicket(ticket);
+    const waiter = this.waiters.get(key);
+    if (waiter === undefined) return;
+    this.waiters.delete(key);
+    clearTimeout(waiter.timer);
+    waiter.resolve(result);
+  }
+}
+
+function formatTicket({ priority, ticket }: SlotTicket): string {
+  return `${priority}/${ticket}`;
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,3 +32,4 @@
 export * from './hosting/member-access-router.js';
 export * from './hosting/member-host-server.js';
 export * from './hosting/remote-member-access.js';
+export * from './hosting/slot-gate.js';
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -13,6 +13,7 @@
 } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { HostDirectory } from '../hosting/host-directory.js';
+import { SlotGate } from '../hosting/slot-gate.js';
 import type { MemberConnector } from '../ports/member-protocol.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
@@ -40,6 +41,8 @@
   readonly entry: MemberEntry;
   readonly pool: MemberPool;
   readonly limits: PoolLimits;
+  /** Admits statements to the member over this instance's connections. */
+  readonly slotGate: SlotGate;
   /** Log position in the member's latest reply; part of the state dump. */
   reportedPosition: TermPosition | undefined;
   laggingUntil: Milliseconds;
@@ -115,6 +118,11 @@
     return entry !== undefined && this.primaryTracker.find(entry.group) === member;
   }
 
+  /** @returns the gate of a member, if the member is listed */
+  findSlotGate(member: MemberId): SlotGate | undefined {
+    return this.states.get(member)?.slotGate;
+  }
+
   /** @returns the tracker of a member's load at its host, if the member is listed */
   findLoad(member: MemberId): MemberLoadTracker | undefined {
     return this.states.get(member)?.load;
@@ -143,7 +151,7 @@
       const isPrimary = entry.id === primary;
       if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
       const { id, isDraining } = entry;
-      const pending = pool.pending + state.load.estimatePending(now);
+      const pending = state.slotGate.pending + state.load.estimatePending(now);
       const avoidUntil = toMilliseconds(Math.max(pool.avoidUntil, state.avoidUntil));
       const distance = this.computeDistance(entry.failureDomain);
       readers.push({
@@ -215,12 +223,12 @@
 
   /** @returns the members' part of the state dump */
   describe(): unknown {
-    return [...this.states.values()].map(({ entry, pool, reportedPosition }) => ({
+    return [...this.states.values()].map(({ entry, pool, slotGate, reportedPosition }) => ({
       member: entry.id,
       group: entry.group,
       isPrimary: this.primaryTracker.find(entry.group) === entry.id,
       connections: pool.size,
-      pending: pool.pending,
+      pending: slotGate.pending,
       seen: reportedPosition,
     }));
   }
@@ -270,6 +278,7 @@
       entry,
       pool,
       limits,
+      slotGate: new SlotGate(entry.slots, this.clock),
       reportedPosition: undefined,
       laggingUntil,
       consecutiveLagRefusals: 0,
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -14,6 +14,7 @@
   MemberPool,
   type MemberRegistry,
   type SessionServices,
+  SlotGate,
   Transaction,
 } from '../../src/index.js';
 import { EMPTY_REPLY, type FakeChannel, FakeConnector } from '../fixtures/fake-connector.js';
@@ -74,6 +75,7 @@
         waitFor: async () => MEMBER,
       },
       findPool: () => pool,
+      findSlotGate: () => new SlotGate(ENTRY.slots, clock),
       listReaders: () => [],
       isPrimary: () => true,
       mayReadLatestAt: () => true,
