--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -132,6 +132,8 @@
       const isDone = await new PrimaryChange(group, this.services).run(reason);
       this.metrics.primaryChanges.inc({ outcome: isDone ? 'done' : 'failed' });
       if (isDone) this.suspicions.remove(group);
+    } catch (error) {
+      this.services.log.warn('primary.check.failed', { group, reason: String(error) });
     } finally {
       this.groupsInProgress.delete(group);
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export * from './runtime/event-log.js';
 export * from './runtime/gateway-metrics.js';
 export * from './runtime/suspension-aware-clock.js';
+export * from './sessions/caller-session.js';
 export * from './sessions/session-context.js';
 export * from './sessions/transaction.js';
 export * from './settings.js';
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -227,6 +227,7 @@
       member: entry.id,
       group: entry.group,
       isPrimary: this.primaryTracker.find(entry.group) === entry.id,
+      host: this.hosts.findHost(entry),
       connections: pool.size,
       pending: slotGate.pending,
       seen: reportedPosition,
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -130,7 +130,16 @@
   private async handleQueue(): Promise<void> {
     this.isRunning = true;
     while (this.queue.length > 0 && !this.isClosed) {
-      await this.handleMessage(this.queue.shift() as QueuedMessage);
+      try {
+        await this.handleMessage(this.queue.shift() as QueuedMessage);
+      } catch (error) {
+        // The state of this session is not known any more; other sessions are not affected.
+        this.services.log.warn('session.failed', {
+          database: this.database,
+          reason: String(error),
+        });
+        this.close();
+      }
     }
     this.isRunning = false;
     this.closeIfIdle();
