Let ranked instances claim the coordinator's role first

Cause: each instance without a known coordinator claims the role with three calls of the store after a random delay of 300 ms; at 195 instances that start at once most of them do.

Change: computeClaimDelay ranks eight instances by rendezvous hashing, 250 ms apart; the others claim after 2 s.

--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -1,4 +1,10 @@
-import { type Clock, type InstanceId, type Milliseconds, toMilliseconds } from '@heatherledge/core';
+import {
+  type Clock,
+  computeClaimDelay,
+  type InstanceId,
+  type Milliseconds,
+  toMilliseconds,
+} from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import { COORDINATOR_KEY, encodeRecord } from '../fleet/records.js';
@@ -13,8 +19,6 @@
 const LEASE_SAFETY_MARGIN_MS = 500;
 /** Interval at which an instance checks whether the fleet has a coordinator. */
 const COORDINATOR_CHECK_INTERVAL_MS = 200;
-/** Maximum random delay before a claim, so that instances do not call the store all at once. */
-const MAX_CLAIM_JITTER_MS = 300;
 
 /**
  * Claims and renews the lease in the store that makes one instance at a time the coordinator, which
@@ -114,7 +118,7 @@
   }
 
   private async claim(): Promise<void> {
-    await delay(this.random() * MAX_CLAIM_JITTER_MS);
+    await delay(computeClaimDelay(this.self, this.view.instances.keys(), this.random()));
     if (this.isStopped || this.view.coordinator !== undefined) return;
     const requestedAt = this.clock.now();
     const granted = await this.store.grantLease(LEASE_TTL_MS, STORE_CALL_TIMEOUT_MS);
