Refuse settings that are not JSON; close pool connections after a pool's close

Causes: settings put and apply ignored syntax errors, so a value that is not JSON was sent as a deletion of its path. A pool that was closed kept connections that were accepted or released later. Failed connections were counted as refused.

--- a/packages/cli/src/cli/check/check-command.ts
+++ b/packages/cli/src/cli/check/check-command.ts
@@ -1,13 +1,8 @@
 import { readFileSync } from 'node:fs';
 import { type Finding, validateChange } from '@heatherledge/core';
-import {
-  findNodeAtLocation,
-  parse,
-  type ParseError,
-  parseTree,
-  printParseErrorCode,
-} from 'jsonc-parser';
+import { findNodeAtLocation, parseTree } from 'jsonc-parser';
 import { EXIT_CODES } from '../../core/exit-codes.js';
+import { parseSettingsText, resolveLine } from '../../core/settings-text.js';
 import type { CommandContext } from '../../types/command.js';
 
 /**
@@ -28,23 +23,15 @@
  */
 export function findProblems(file: string): Finding[] {
   const text = readFileSync(file, 'utf8');
-  const errors: ParseError[] = [];
-  const values = parse(text, errors, { allowTrailingComma: true }) as Record<string, unknown>;
-  if (errors.length > 0) return errors.map((error) => createSyntaxFinding(file, text, error));
+  const parsed = parseSettingsText(text, file);
+  if (parsed.kind === 'invalid') return [...parsed.findings];
   const tree = parseTree(text, [], { allowTrailingComma: true });
-  const changes = Object.entries(values).map(([path, value]) => ({ path, value }));
+  const changes = Object.entries(parsed.value as Record<string, unknown>).map(([path, value]) => ({
+    path,
+    value,
+  }));
   return validateChange(new Map(), changes).map((finding) => {
     const node = tree && findNodeAtLocation(tree, [finding.source]);
     return node === undefined ? finding : { ...finding, line: resolveLine(text, node.offset) };
   });
 }
-
-function createSyntaxFinding(source: string, text: string, error: ParseError): Finding {
-  const message = printParseErrorCode(error.error);
-  return { source, field: '', message, line: resolveLine(text, error.offset) };
-}
-
-/** @returns the line of the offset, from 1 */
-function resolveLine(text: string, offset: number): number {
-  return text.slice(0, offset).split('\n').length;
-}
--- a/packages/cli/src/cli/settings/settings-commands.ts
+++ b/packages/cli/src/cli/settings/settings-commands.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
-import { parse } from 'jsonc-parser';
+import { EXIT_CODES } from '../../core/exit-codes.js';
+import { type ParsedText, parseSettingsText } from '../../core/settings-text.js';
 import type { CommandContext } from '../../types/command.js';
 
 /** A settings path and its value. */
@@ -65,7 +66,12 @@
   value: string,
   expectedRevision: number | undefined,
 ): Promise<void> {
-  await sendPathChanges(context, [{ path, value: parse(value) as unknown }], expectedRevision);
+  const parsed = parseSettingsText(value, path);
+  if (parsed.kind === 'invalid') {
+    context.output.printFindings(parsed.findings, EXIT_CODES.invalid);
+    return;
+  }
+  await sendPathChanges(context, [{ path, value: parsed.value }], expectedRevision);
 }
 
 /**
@@ -96,10 +102,12 @@
   file: string,
   expectedRevision: number | undefined,
 ): Promise<void> {
-  const changes = Object.entries(readSettingsByPath(file)).map(([path, value]) => ({
-    path,
-    value,
-  }));
+  const settings = readSettingsByPath(file);
+  if (settings.kind === 'invalid') {
+    context.output.printFindings(settings.findings, EXIT_CODES.invalid);
+    return;
+  }
+  const changes = Object.entries(settings.values).map(([path, value]) => ({ path, value }));
   await sendPathChanges(context, changes, expectedRevision);
 }
 
@@ -113,7 +121,12 @@
   { client, output }: CommandContext,
   file: string,
 ): Promise<void> {
-  const planned = readSettingsByPath(file);
+  const settings = readSettingsByPath(file);
+  if (settings.kind === 'invalid') {
+    output.printFindings(settings.findings, EXIT_CODES.invalid);
+    return;
+  }
+  const planned = settings.values;
   const reply = await client.get('/v1/settings');
   output.printReply(reply, (body) => {
     const currentValues = new Map(
@@ -166,8 +179,20 @@
   });
 }
 
-function readSettingsByPath(file: string): Record<string, unknown> {
-  return parse(readFileSync(file, 'utf8')) as Record<string, unknown>;
+/** Reads a file of settings by path. */
+function readSettingsByPath(
+  file: string,
+):
+  | { readonly kind: 'settings'; readonly values: Readonly<Record<string, unknown>> }
+  | Extract<ParsedText, { kind: 'invalid' }> {
+  const parsed = parseSettingsText(readFileSync(file, 'utf8'), file);
+  if (parsed.kind === 'invalid') return parsed;
+  const { value } = parsed;
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    const message = 'must be an object of values by path';
+    return { kind: 'invalid', findings: [{ source: file, field: '', message }] };
+  }
+  return { kind: 'settings', values: value as Record<string, unknown> };
 }
 
 function formatEntry({ path, value }: SettingsEntry): string {
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -170,6 +170,10 @@
   release(connection: MemberConnection): void {
     if (connection.transactionState !== 'idle') connection.destroy('left inside a transaction');
     if (!this.busy.delete(connection) || connection.isClosed) return;
+    if (this.isClosed) {
+      connection.close();
+      return;
+    }
     connection.idleSince = this.clock.now();
     const next = this.queue.takeNext(connection.organisation, this.clock.now());
     if (next !== undefined) {
@@ -209,7 +213,10 @@
     return now - Math.max(oldest, this.lastReplyAt);
   }
 
-  /** Closes the idle connections and refuses the requests that wait. */
+  /**
+   * Closes the idle connections and refuses the requests that wait; connections in use or being
+   * opened are closed when they are released.
+   */
   close(): void {
     this.isClosed = true;
     clearTimeout(this.servingTimer);
@@ -242,8 +249,9 @@
   }
 
   private handleOpenFailure(error: WireError | undefined): void {
-    this.listener.onConnection('refused');
-    if (error?.code === 'connection-limit') {
+    const isAtLimit = error?.code === 'connection-limit';
+    this.listener.onConnection(isAtLimit ? 'refused' : 'failed');
+    if (isAtLimit) {
       const now = this.clock.now();
       this.reconnectAt = toMilliseconds(now + this.reconnectDelayMs);
       // Makes room for the organisation that waits.
--- a/packages/gateway/test/units/member-pool.test.ts
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -113,6 +113,47 @@
     });
   });
 
+  describe('after its close', () => {
+    it('closes a connection that the member accepts later', async () => {
+      void pool.acquire(createRequest('a'));
+      pool.close();
+      const [channel] = connector.channels;
+      channel?.accept();
+      expect(channel?.isClosed).toBe(true);
+    });
+
+    it('closes a connection in use when it is released, and not before', async () => {
+      const { connection } = await acquireConnection('a');
+      pool.close();
+      expect(connection.isClosed).toBe(false);
+      pool.release(connection);
+      expect(connection.isClosed).toBe(true);
+    });
+  });
+
+  describe('counts of connections', () => {
+    let outcomes: string[];
+
+    beforeEach(() => {
+      outcomes = [];
+      const listener = { ...LISTENER, onConnection: (outcome: string) => outcomes.push(outcome) };
+      const limits = { maxConnections: 4, maxIdleConnections: 4, maxWaiting: 64 };
+      pool = new MemberPool(ENTRY, connector, limits, listener, clock);
+      void pool.acquire(createRequest('a'));
+    });
+
+    it('tell a member at its limit apart from one that cannot be reached', () => {
+      const { handler } = connector.channels.at(-1) as (typeof connector.channels)[number];
+      handler.onClosed({ code: 'connection-limit', text: '' });
+      expect(outcomes).toEqual(['refused']);
+    });
+
+    it('count a member that cannot be reached as failed', () => {
+      connector.channels.at(-1)?.handler.onClosed({ code: 'busy', text: 'ECONNREFUSED' });
+      expect(outcomes).toEqual(['failed']);
+    });
+  });
+
   describe('order', () => {
     it('serves requests of urgent routes first', async () => {
       const order: string[] = [];
