--- a/packages/cli/src/bin/heatherledge.ts
+++ b/packages/cli/src/bin/heatherledge.ts
@@ -2,7 +2,7 @@
 /** Command line for operators and on-call engineers: a client of the administration API. */
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { AdminClient } from '../core/admin-client.js';
+import { AdminClient, OutcomeUnknownError } from '../core/admin-client.js';
 import { EXIT_CODES } from '../core/exit-codes.js';
 import { Output, PROCESS_OUTPUT } from '../core/output.js';
 import type { CommandContext } from '../types/command.js';
@@ -161,6 +161,8 @@
   .strict()
   .fail((message, error) => {
     process.stderr.write(`${error?.message ?? message}\n`);
-    process.exit(error === undefined ? EXIT_CODES.badUsage : EXIT_CODES.unavailable);
+    if (error === undefined) process.exit(EXIT_CODES.badUsage);
+    const isUnknown = error instanceof OutcomeUnknownError;
+    process.exit(isUnknown ? EXIT_CODES.unknown : EXIT_CODES.unavailable);
   })
   .parse();
--- a/packages/cli/src/core/admin-client.ts
+++ b/packages/cli/src/core/admin-client.ts
@@ -18,6 +18,12 @@
 
 const REQUEST_TIMEOUT_MS = 30_000;
 
+/** Errors of a connection that was never established, so that the request was not sent. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** A change was sent, and no reply tells whether it was accepted. */
+export class OutcomeUnknownError extends Error {}
+
 /**
  * Sends requests to the administration API of one instance. The command line reaches the fleet only
  * through this API.
@@ -43,10 +49,19 @@
    * @param path - path of the request
    * @param body - body of the request, sent as JSON
    * @returns the reply, whatever its status
-   * @throws the HTTP client's error if the instance cannot be reached or does not reply in time
+   * @throws the HTTP client's error if the request was not sent, or {@link OutcomeUnknownError} if it
+   *   was sent and has no reply
    */
   async post(path: string, body: object): Promise<AdminReply> {
-    return this.send('POST', path, body);
+    try {
+      return await this.send('POST', path, body);
+    } catch (error) {
+      if (NOT_SENT_CODES.has((error as NodeJS.ErrnoException).code ?? '')) throw error;
+      const reason = error instanceof Error ? error.message : String(error);
+      throw new OutcomeUnknownError(`it is not known whether the change was accepted: ${reason}`, {
+        cause: error,
+      });
+    }
   }
 
   private async send(
