Tell callers when to return after a refusal for a long queue

The text of such a refusal names the time by which the estimated wait exceeds the accepted one, with a random part that spreads callers that were refused together. Measured: the unit test of the estimate.

--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -28,7 +28,11 @@
 export type SlotDecision =
   | { readonly kind: 'granted' }
   | { readonly kind: 'queued'; readonly ticket: SlotTicket }
-  | { readonly kind: 'refused' };
+  | {
+      readonly kind: 'refused';
+      /** Time after which the statement would probably be accepted, in milliseconds. */
+      readonly retryAfterMs: number;
+    };
 
 /** Identifies a waiting statement. */
 export interface SlotTicket {
@@ -36,6 +40,10 @@
   readonly ticket: QueueTicket;
 }
 
+/** Bounds of the time after which a refused statement is to be sent again. */
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 2000;
+
 /** Organisation of callers without a valid key. */
 const ANONYMOUS = '' as OrganisationId;
 
@@ -77,13 +85,13 @@
       return { kind: 'granted' };
     }
     const waitMs = this.estimateWait(organisation, priority, now);
-    if (waitMs > Math.min(maxEstimatedWaitMs, deadline - now)) return { kind: 'refused' };
+    const patienceMs = Math.min(maxEstimatedWaitMs, deadline - now);
+    if (waitMs > patienceMs) return createRefusal(waitMs - patienceMs);
     const queue = this.queues.get(priority) ?? new FairQueue(QUEUE_BOUNDS);
     this.queues.set(priority, queue);
     const ticket = queue.push(organisation, ORGANISATION_WEIGHT, deadline);
-    return ticket === undefined
-      ? { kind: 'refused' }
-      : { kind: 'queued', ticket: { priority, ticket } };
+    if (ticket === undefined) return createRefusal(waitMs);
+    return { kind: 'queued', ticket: { priority, ticket } };
   }
 
   /**
@@ -127,3 +135,8 @@
     return count;
   }
 }
+
+function createRefusal(excessWaitMs: number): SlotDecision {
+  const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessWaitMs));
+  return { kind: 'refused', retryAfterMs };
+}
--- a/packages/core/test/units/member-slot-queue.test.ts
+++ b/packages/core/test/units/member-slot-queue.test.ts
@@ -159,6 +159,21 @@
       expect(queue.pending).toBe(4);
     });
 
+    it('are refused with the time by which the queue is too long', () => {
+      let now = 0;
+      for (let index = 0; index < 3; index += 1) queue.request(request(), toMilliseconds(now));
+      for (let index = 0; index < 40; index += 1) queue.request(request(), toMilliseconds(now));
+      for (let index = 0; index < 10; index += 1) {
+        now += 20;
+        queue.release(toMilliseconds(now));
+      }
+      // 30 statements are left, one each 20 ms; the patience is 280 ms.
+      const decision = queue.request(request(), toMilliseconds(now));
+      if (decision.kind !== 'refused') throw new Error(decision.kind);
+      expect(decision.retryAfterMs).toBeGreaterThan(250);
+      expect(decision.retryAfterMs).toBeLessThan(400);
+    });
+
     it('go to no statement that has stopped waiting', () => {
       for (let index = 0; index < 3; index += 1) queue.request(request(), now);
       const decision = queue.request(request(), now);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -222,7 +222,12 @@
     );
     this.shareAllocator = new RateShareAllocator(instance, maxKeyRevocationDelayMs);
     const grantChecker = new SettingsGrantChecker(this.view, clock);
-    const localAccess = new LocalMemberAccess(this.memberRegistry, grantChecker, clock);
+    const localAccess = new LocalMemberAccess(
+      this.memberRegistry,
+      grantChecker,
+      clock,
+      this.random,
+    );
     this.hostServer = new MemberHostServer(
       this.peerHub,
       localAccess,
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -3,7 +3,7 @@
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
-import type { SlotGate } from './slot-gate.js';
+import type { SlotGate, SlotResult } from './slot-gate.js';
 import {
   type AccessRefusal,
   type BeginRequest,
@@ -42,6 +42,7 @@
     private readonly memberRegistry: MemberRegistry,
     private readonly grantChecker: GrantChecker,
     private readonly clock: Clock,
+    private readonly random: () => number,
   ) {}
 
   async run(request: StatementRequest): Promise<StatementResult> {
@@ -51,7 +52,7 @@
     const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
     const { organisation } = credentials;
     const admitted = await gate.acquire({ organisation, priority, maxEstimatedWaitMs, waitMs });
-    if (admitted !== 'granted') return createRefusal(admitted);
+    if (admitted.kind !== 'granted') return this.createSlotRefusal(admitted);
     try {
       return await this.runInSlot(request, startedAt);
     } finally {
@@ -79,6 +80,14 @@
     return result;
   }
 
+  private createSlotRefusal(result: Exclude<SlotResult, { kind: 'granted' }>): AccessRefusal {
+    if (result.kind === 'timeout') return createRefusal('timeout');
+    // The random part spreads the callers that were refused together.
+    const retryAfterMs = Math.round(result.retryAfterMs * (1 + this.random()));
+    const text = `the queue for the member is too long; retry after ${retryAfterMs} ms`;
+    return createRefusal('overloaded', 'busy', text);
+  }
+
   private async runInSlot(
     request: StatementRequest,
     startedAt: Milliseconds,
@@ -176,8 +185,8 @@
       maxEstimatedWaitMs: timeoutMs,
       waitMs: timeoutMs,
     });
-    if (admitted !== undefined && admitted !== 'granted') {
-      return { kind: 'lost', reason: `no slot: ${admitted}`, wasSent: false };
+    if (admitted !== undefined && admitted.kind !== 'granted') {
+      return { kind: 'lost', reason: `no slot: ${admitted.kind}`, wasSent: false };
     }
     try {
       return await this.runInSlot(statement, values, timeoutMs);
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -7,7 +7,14 @@
 } from '@heatherledge/core';
 
 /** How a request for a slot ended. */
-export type SlotResult = 'granted' | 'overloaded' | 'timeout';
+export type SlotResult =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'timeout' }
+  | {
+      readonly kind: 'overloaded';
+      /** Time after which the statement would probably be accepted, in milliseconds. */
+      readonly retryAfterMs: number;
+    };
 
 /** What a statement tells of itself to get a slot. */
 export type GateRequest = Omit<SlotRequest, 'deadline'> & {
@@ -55,8 +62,10 @@
       { ...request, deadline: toMilliseconds(now + waitMs) },
       now,
     );
-    if (decision.kind === 'granted') return 'granted';
-    if (decision.kind === 'refused') return 'overloaded';
+    if (decision.kind === 'granted') return decision;
+    if (decision.kind === 'refused') {
+      return { kind: 'overloaded', retryAfterMs: decision.retryAfterMs };
+    }
     const { ticket } = decision;
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.expire(ticket), Math.max(1, waitMs));
@@ -67,12 +76,12 @@
   /** Releases a slot. */
   release(): void {
     const next = this.queue.release(this.clock.now());
-    if (next !== undefined) this.settle(next, 'granted');
+    if (next !== undefined) this.settle(next, { kind: 'granted' });
   }
 
   private expire(ticket: SlotTicket): void {
     this.queue.cancel(ticket);
-    this.settle(ticket, 'timeout');
+    this.settle(ticket, { kind: 'timeout' });
   }
 
   private settle(ticket: SlotTicket, result: SlotResult): void {
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -86,7 +86,7 @@
       log: new EventLog(clock),
       grantChecker,
       memberRegistry,
-      memberAccess: new LocalMemberAccess(memberRegistry, grantChecker, clock),
+      memberAccess: new LocalMemberAccess(memberRegistry, grantChecker, clock, () => 0),
     } as unknown as SessionServices;
     const grant = { route: ROUTE, organisation: undefined, key: undefined };
     const state = { values: new Map(), prepared: new Map(), commitPositions: new Map() };
