Share an overloaded member by rates, and enforce the accepted wait

Change: start-time fair queueing weighted by the organisations' rates; waits count what is due before a statement and the share of more urgent ones; a statement that has waited as long as a wait may be estimated is refused, with a time to return.

--- a/packages/core/src/fairness/fair-queue.ts
+++ b/packages/core/src/fairness/fair-queue.ts
@@ -55,22 +55,6 @@
     return this.queues.get(organisation)?.waiting.length ?? 0;
   }
 
-  /**
-   * Estimates how many requests would be served before a new one, with all organisations of equal
-   * weight: each of them takes a turn for every request of the new one's organisation.
-   *
-   * @param organisation - organisation of the new request
-   * @returns number of requests
-   */
-  countAhead(organisation: OrganisationId): number {
-    const own = this.countWaiting(organisation);
-    let ahead = own;
-    for (const [other, { waiting }] of this.queues) {
-      if (other !== organisation) ahead += Math.min(waiting.length, own + 1);
-    }
-    return ahead;
-  }
-
   /**
    * Adds a request.
    *
--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -1,4 +1,5 @@
-import { FairQueue, type QueueTicket } from '../fairness/fair-queue.js';
+import type { QueueTicket } from '../fairness/fair-queue.js';
+import { WeightedFairQueue } from '../fairness/weighted-fair-queue.js';
 import { WaitEstimator } from '../serving/wait-estimator.js';
 import type { Milliseconds, OrganisationId } from '../types/ids.js';
 
@@ -7,15 +8,15 @@
  * round trip to the host.
  */
 const PIPELINED_STATEMENTS = 1;
-/** Maximum number of statements that wait, of one organisation and of all. */
-const QUEUE_BOUNDS = { perOrganisation: 48, total: 96 };
-/** Every organisation has the same weight in the queue. */
-const ORGANISATION_WEIGHT = 1;
+/** Maximum number of statements of one priority that wait. */
+const MAX_WAITING_STATEMENTS = 96;
 
 /** A statement that needs a slot. */
 export interface SlotRequest {
   /** Undefined for callers without a valid key, which share one place in the queue. */
   readonly organisation: OrganisationId | undefined;
+  /** Part of the organisation relative to others under overload; positive. */
+  readonly weight: number;
   /** Lower values are served first; 0 is the most urgent. */
   readonly priority: number;
   /** Time at which the statement expires. */
@@ -44,6 +45,18 @@
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 2000;
 
+/** The statements of one priority that wait. */
+interface PriorityQueue {
+  readonly waiting: WeightedFairQueue;
+  /** Moving average of the share of statements that left the queue and were more urgent. */
+  urgentShare: number;
+}
+
+/** Weight of the newest statement in the share of urgent ones, an average of about the last twenty. */
+const URGENT_SHARE_SMOOTHING = 0.1;
+/** The share may exceed this for a moment, which says little about the wait of the others. */
+const MAX_URGENT_SHARE = 0.8;
+
 /** Organisation of callers without a valid key. */
 const ANONYMOUS = '' as OrganisationId;
 
@@ -53,13 +66,13 @@
  * Load pattern: replicas lag, so all reads of a group go to its primary, and one organisation sends
  * several times its usual number. A member that gets everything at once runs statements in the order
  * of their arrival and refuses what its own short queue does not hold, at random. Here the most urgent
- * statements run first, organisations take turns, and a statement that would wait too long is refused
- * at its arrival, so that another member can serve it or its caller knows at once.
+ * statements run first, organisations share the rest by their weights, and a statement that would wait
+ * too long is refused at its arrival, so that another member can serve it or its caller knows at once.
  */
 export class MemberSlotQueue {
   private running = 0;
 
-  private readonly queues = new Map<number, FairQueue>();
+  private readonly queues = new Map<number, PriorityQueue>();
 
   private readonly waitEstimator = new WaitEstimator();
 
@@ -79,17 +92,16 @@
    * @returns whether it may run now, waits, or is refused
    */
   request(request: SlotRequest, now: Milliseconds): SlotDecision {
-    const { organisation = ANONYMOUS, priority, deadline, maxEstimatedWaitMs } = request;
+    const { organisation = ANONYMOUS, weight, priority, deadline, maxEstimatedWaitMs } = request;
     if (this.running < this.slots + PIPELINED_STATEMENTS && this.countWaiting() === 0) {
       this.running += 1;
       return { kind: 'granted' };
     }
-    const waitMs = this.estimateWait(organisation, priority, now);
+    const queue = this.getQueue(priority);
+    const waitMs = this.estimateWait(queue, organisation, priority, now);
     const patienceMs = Math.min(maxEstimatedWaitMs, deadline - now);
     if (waitMs > patienceMs) return createRefusal(waitMs - patienceMs);
-    const queue = this.queues.get(priority) ?? new FairQueue(QUEUE_BOUNDS);
-    this.queues.set(priority, queue);
-    const ticket = queue.push(organisation, ORGANISATION_WEIGHT, deadline);
+    const ticket = queue.waiting.push(organisation, weight);
     if (ticket === undefined) return createRefusal(waitMs);
     return { kind: 'queued', ticket: { priority, ticket } };
   }
@@ -100,38 +112,59 @@
    * @returns the waiting statement that runs next, if there is one
    */
   release(now: Milliseconds): SlotTicket | undefined {
-    const next = this.shift();
+    const next = this.shift(now);
     if (next === undefined) this.running -= 1;
-    else this.waitEstimator.recordDequeue(now, this.countWaiting() > 0);
     return next;
   }
 
   /** Removes a statement that no longer waits. */
   cancel({ priority, ticket }: SlotTicket): void {
-    this.queues.get(priority)?.remove(ticket);
+    this.queues.get(priority)?.waiting.remove(ticket);
   }
 
-  private shift(): SlotTicket | undefined {
+  private shift(now: Milliseconds): SlotTicket | undefined {
     const priorities = [...this.queues.keys()].sort((left, right) => left - right);
     for (const priority of priorities) {
-      const ticket = this.queues.get(priority)?.shift();
-      if (ticket !== undefined) return { priority, ticket };
+      const ticket = this.getQueue(priority).waiting.shift();
+      if (ticket === undefined) continue;
+      this.recordDequeue(priority, now);
+      return { priority, ticket };
     }
     return undefined;
   }
 
-  private estimateWait(organisation: OrganisationId, priority: number, now: Milliseconds): number {
-    let ahead = 0;
+  private recordDequeue(priority: number, now: Milliseconds): void {
+    this.waitEstimator.recordDequeue(now, this.countWaiting() > 0);
     for (const [other, queue] of this.queues) {
-      if (other < priority) ahead += queue.size;
-      else if (other === priority) ahead += queue.countAhead(organisation);
+      const isMoreUrgent = priority < other ? 1 : 0;
+      queue.urgentShare += URGENT_SHARE_SMOOTHING * (isMoreUrgent - queue.urgentShare);
     }
-    return this.waitEstimator.estimateWait(ahead, now);
+  }
+
+  /** Estimates a wait from what is ahead, and from the more urgent statements still to come. */
+  private estimateWait(
+    { waiting, urgentShare }: PriorityQueue,
+    organisation: OrganisationId,
+    priority: number,
+    now: Milliseconds,
+  ): number {
+    let ahead = waiting.countDueBefore(organisation);
+    for (const [other, queue] of this.queues) if (other < priority) ahead += queue.waiting.size;
+    const remainingShare = 1 - Math.min(MAX_URGENT_SHARE, urgentShare);
+    return this.waitEstimator.estimateWait(ahead, now) / remainingShare;
+  }
+
+  private getQueue(priority: number): PriorityQueue {
+    const known = this.queues.get(priority);
+    if (known !== undefined) return known;
+    const queue = { waiting: new WeightedFairQueue(MAX_WAITING_STATEMENTS), urgentShare: 0 };
+    this.queues.set(priority, queue);
+    return queue;
   }
 
   private countWaiting(): number {
     let count = 0;
-    for (const queue of this.queues.values()) count += queue.size;
+    for (const { waiting } of this.queues.values()) count += waiting.size;
     return count;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './failover/member-port.js';
 export * from './failover/watcher-types.js';
 export * from './fairness/fair-queue.js';
+export * from './fairness/weighted-fair-queue.js';
 export * from './idempotency/commit-tracker.js';
 export * from './keys/freshness-guard.js';
 export * from './keys/key-digest.js';
--- a/packages/core/test/units/member-slot-queue.test.ts
+++ b/packages/core/test/units/member-slot-queue.test.ts
@@ -18,6 +18,8 @@
   readonly at: number;
   readonly organisation: OrganisationId;
   readonly priority: number;
+  /** The organisation's rate. */
+  readonly weight: number;
 }
 
 interface Outcome extends Arrival {
@@ -27,10 +29,13 @@
 
 const organisation = (name: string): OrganisationId => toBrand<OrganisationId>(name);
 
-/** Replays arrivals at a member that runs two statements at a time. */
+/**
+ * Replays arrivals at a member that runs two statements at a time. Like the gate, it refuses statements
+ * that have waited for as long as a wait may be estimated.
+ */
 function replay(arrivals: readonly Arrival[], patienceMs: number): Outcome[] {
   const queue = new MemberSlotQueue(SLOTS);
-  const waiting = new Map<string, Arrival>();
+  const waiting = new Map<string, { arrival: Arrival; ticket: SlotTicket }>();
   const outcomes: Outcome[] = [];
   /** Statements at the member, in order; it runs the first two. */
   let atMember: { arrival: Arrival; remainingMs: number }[] = [];
@@ -38,16 +43,23 @@
   const send = (arrival: Arrival): void => {
     atMember.push({ arrival, remainingMs: SERVICE_MS });
   };
-  let next = 0;
-  for (let now = 0; next < arrivals.length || atMember.length > 0; now += STEP_MS) {
-    for (; (arrivals[next]?.at ?? Infinity) <= now; next += 1) {
-      const arrival = arrivals[next] as Arrival;
+  let arrived = 0;
+  for (let now = 0; arrived < arrivals.length || atMember.length > 0; now += STEP_MS) {
+    for (; (arrivals[arrived]?.at ?? Infinity) <= now; arrived += 1) {
+      const arrival = arrivals[arrived] as Arrival;
       const deadline = toMilliseconds(now + 5000);
       const request = { ...arrival, deadline, maxEstimatedWaitMs: patienceMs };
       const decision = queue.request(request, toMilliseconds(now));
       if (decision.kind === 'granted') send(arrival);
-      else if (decision.kind === 'queued') waiting.set(formatTicket(decision.ticket), arrival);
-      else outcomes.push({ ...arrival, finishedAt: undefined });
+      else if (decision.kind === 'queued') {
+        waiting.set(formatTicket(decision.ticket), { arrival, ticket: decision.ticket });
+      } else outcomes.push({ ...arrival, finishedAt: undefined });
+    }
+    for (const [key, { arrival, ticket }] of waiting) {
+      if (now - arrival.at < patienceMs) continue;
+      queue.cancel(ticket);
+      waiting.delete(key);
+      outcomes.push({ ...arrival, finishedAt: undefined });
     }
     for (const statement of atMember.slice(0, SLOTS)) statement.remainingMs -= STEP_MS;
     const done = atMember.filter(({ remainingMs }) => remainingMs <= 0);
@@ -55,17 +67,25 @@
     for (const { arrival } of done) {
       outcomes.push({ ...arrival, finishedAt: now + STEP_MS });
       const ticket = queue.release(toMilliseconds(now + STEP_MS));
-      if (ticket !== undefined) send(waiting.get(formatTicket(ticket)) as Arrival);
+      const next = ticket && waiting.get(formatTicket(ticket));
+      if (ticket !== undefined) waiting.delete(formatTicket(ticket));
+      if (next !== undefined) send(next.arrival);
     }
   }
   return outcomes;
 }
 
 /** Creates evenly spaced arrivals of one organisation. */
-function arriveEvery(intervalMs: number, name: string, priority = 1, untilMs = 4000): Arrival[] {
+function arriveEvery(
+  intervalMs: number,
+  name: string,
+  priority = 1,
+  weight = 1,
+  untilMs = 4000,
+): Arrival[] {
   const arrivals: Arrival[] = [];
   for (let at = 0; at < untilMs; at += intervalMs) {
-    arrivals.push({ at, organisation: organisation(name), priority });
+    arrivals.push({ at, organisation: organisation(name), priority, weight });
   }
   return arrivals;
 }
@@ -139,10 +159,27 @@
     });
   });
 
+  describe('load pattern: overload, with a large organisation within its rate', () => {
+    const large = arriveEvery(6, 'large', 1, 20);
+    const small = merge(...Array.from({ length: 20 }, (_, index) => arriveEvery(150, `s${index}`)));
+
+    it('refuses large and small organisations alike', () => {
+      const outcomes = replay(merge(large, small), PATIENCE_MS);
+      const share = computeShareInTime(outcomes, 'large');
+      const smallShares = Array.from({ length: 20 }, (_, index) =>
+        computeShareInTime(outcomes, `s${index}`),
+      );
+      const smallShare = smallShares.reduce((sum, value) => sum + value, 0) / smallShares.length;
+      expect(share).toBeGreaterThan(0.55);
+      expect(smallShare).toBeGreaterThan(0.55);
+    });
+  });
+
   describe('slots', () => {
     let queue: MemberSlotQueue;
     const request = (deadline = 5000) => ({
       organisation: organisation('a'),
+      weight: 1,
       priority: 1,
       deadline: toMilliseconds(deadline),
       maxEstimatedWaitMs: PATIENCE_MS,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
   DEFAULT_LOAN_TIMINGS,
   type AdmissionRules,
   type InstanceRecord as PeerRecord,
+  type OrganisationId,
   toMilliseconds,
 } from '@heatherledge/core';
 import { createRandom, DEFAULT_ADMISSION_RULES, LimitsTask, PeerHub } from '@heatherledge/daemon';
@@ -72,6 +73,9 @@
 /** Share of the stop timeout in which statements of other instances may end. */
 const MAX_HOST_DRAIN_RATIO = 0.85;
 
+/** Weight of an organisation without a rate, in requests per second. */
+const MIN_ORGANISATION_WEIGHT = 1;
+
 /** Adapters for the platform's services and protocols. */
 export interface GatewayPorts {
   readonly store: ControlStore;
@@ -227,6 +231,7 @@
       grantChecker,
       clock,
       this.random,
+      (organisation) => this.findWeight(organisation),
     );
     this.hostServer = new MemberHostServer(
       this.peerHub,
@@ -340,6 +345,12 @@
     this.limits.update(settings, this.shareAllocator.computeShare(instances, this.clock.now()));
   }
 
+  /** Organisations share an overloaded member in proportion to their rates. */
+  private findWeight(organisation: OrganisationId | undefined): number {
+    const rate = organisation && this.view.settings?.organisations.get(organisation);
+    return Math.max(MIN_ORGANISATION_WEIGHT, rate?.requestsPerSecond ?? MIN_ORGANISATION_WEIGHT);
+  }
+
   private findPeer(id: PeerRecord['id']): PeerRecord | undefined {
     const record = this.view.instances.get(id)?.value;
     if (record === undefined) return undefined;
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@heatherledge/core';
+import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
@@ -26,6 +26,12 @@
  */
 const MAX_CONNECTION_WAIT_IN_SLOT_MS = 100;
 
+/**
+ * Finds the part of an organisation relative to others, by which they share an overloaded member;
+ * undefined stands for callers without a valid key.
+ */
+export type WeightLookup = (organisation: OrganisationId | undefined) => number;
+
 /** How certain this instance must be of the primary before a request is sent to it. */
 type PrimaryCheck =
   /** The member must be the known primary. */
@@ -43,6 +49,7 @@
     private readonly grantChecker: GrantChecker,
     private readonly clock: Clock,
     private readonly random: () => number,
+    private readonly findWeight: WeightLookup,
   ) {}
 
   async run(request: StatementRequest): Promise<StatementResult> {
@@ -51,7 +58,14 @@
     if (gate === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
     const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
     const { organisation } = credentials;
-    const admitted = await gate.acquire({ organisation, priority, maxEstimatedWaitMs, waitMs });
+    const weight = this.findWeight(organisation);
+    const admitted = await gate.acquire({
+      organisation,
+      weight,
+      priority,
+      maxEstimatedWaitMs,
+      waitMs,
+    });
     if (admitted.kind !== 'granted') return this.createSlotRefusal(admitted);
     try {
       return await this.runInSlot(request, startedAt);
@@ -73,7 +87,8 @@
     );
     if (result.kind === 'answered' && result.reply.error === undefined) {
       const gate = this.memberRegistry.findSlotGate(request.member);
-      const transaction = new LocalMemberTransaction(pool, connection, gate, request);
+      const weight = this.findWeight(request.credentials.organisation);
+      const transaction = new LocalMemberTransaction(pool, connection, gate, request, weight);
       return { kind: 'open', transaction };
     }
     pool.release(connection);
@@ -170,6 +185,7 @@
     private readonly connection: MemberConnection,
     private readonly gate: SlotGate | undefined,
     private readonly request: BeginRequest,
+    private readonly weight: number,
   ) {}
 
   async run(
@@ -181,6 +197,7 @@
     // A statement of an open transaction is not refused for its wait: the work done would be lost.
     const admitted = await this.gate?.acquire({
       organisation: credentials.organisation,
+      weight: this.weight,
       priority: OPEN_TRANSACTION_PRIORITY,
       maxEstimatedWaitMs: timeoutMs,
       waitMs: timeoutMs,
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -68,7 +68,15 @@
     }
     const { ticket } = decision;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.expire(ticket), Math.max(1, waitMs));
+      // The accepted wait is enforced as well as estimated: beyond it, the statement would be late,
+      // and so would those behind it.
+      const { maxEstimatedWaitMs } = request;
+      const result: SlotResult =
+        maxEstimatedWaitMs < waitMs
+          ? { kind: 'overloaded', retryAfterMs: maxEstimatedWaitMs }
+          : { kind: 'timeout' };
+      const maxWaitMs = Math.min(waitMs, maxEstimatedWaitMs);
+      const timer = setTimeout(() => this.expire(ticket, result), Math.max(1, maxWaitMs));
       this.waiters.set(formatTicket(ticket), { ticket, resolve, timer });
     });
   }
@@ -79,9 +87,9 @@
     if (next !== undefined) this.settle(next, { kind: 'granted' });
   }
 
-  private expire(ticket: SlotTicket): void {
+  private expire(ticket: SlotTicket, result: SlotResult): void {
     this.queue.cancel(ticket);
-    this.settle(ticket, { kind: 'timeout' });
+    this.settle(ticket, result);
   }
 
   private settle(ticket: SlotTicket, result: SlotResult): void {
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -86,7 +86,13 @@
       log: new EventLog(clock),
       grantChecker,
       memberRegistry,
-      memberAccess: new LocalMemberAccess(memberRegistry, grantChecker, clock, () => 0),
+      memberAccess: new LocalMemberAccess(
+        memberRegistry,
+        grantChecker,
+        clock,
+        () => 0,
+        () => 1,
+      ),
     } as unknown as SessionServices;
     const grant = { route: ROUTE, organisation: undefined, key: undefined };
     const state = { values: new Map(), prepared: new Map(), commitPositions: new Map() };
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -15,3 +15,6 @@
 export * from './faults/settings/settings-cells.js';
 export * from './faults/settings/settings-simulation.js';
 export * from './faults/random.js';
+export * from './placement/load-patterns.js';
+export * from './placement/placement-experiment.js';
+export * from './placement/policies.js';
