Learn newer revisions from the conflict itself; let the watch bring changes to subscribers

A relay that listed the store dropped its history, so that all its subscribers listed it too.

Change: a conflict's response names the present items of the expected keys, which are applied and checked again; a subscriber whose relay knows more waits 1.2 s for the watch before it lists the store; an instance whose relay does not know it yet does not check the store itself while its confirmation is recent; the first watch of a new instance starts 200 ms late.

--- a/packages/gateway/src/fleet/fleet-view-updater.ts
+++ b/packages/gateway/src/fleet/fleet-view-updater.ts
@@ -1,6 +1,6 @@
-import { type Clock, type InstanceId, toMilliseconds } from '@heatherledge/core';
+import { type Clock, type InstanceId, type Milliseconds, toMilliseconds } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
-import type { ControlStore, StoreRevision } from '../ports/control-store.js';
+import type { ControlStore, StoreError, StoreRevision } from '../ports/control-store.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { FleetView } from './fleet-view.js';
 import { encodeRecord, formatInstanceKey, type InstanceRecord } from './records.js';
@@ -18,6 +18,18 @@
  * second old.
  */
 const RELAYED_CHECK_INTERVAL_MS = 400;
+/**
+ * Delay of the first watch of an instance that was not listed before: other instances of a fleet that
+ * starts list themselves meanwhile, and the first watch brings them together.
+ */
+const FIRST_WATCH_DELAY_MS = 200;
+/** Interval of checks at a relay that knows newer revisions, which the watch is about to bring. */
+const CONFLICT_RECHECK_INTERVAL_MS = 120;
+/**
+ * Time in which the watch must bring a change that a check has found; the relay's own watch is paced
+ * by 400 ms, and a confirmation is recent enough to serve for 2.6 s.
+ */
+const CONFLICT_GRACE_MS = 1200;
 /** Members list themselves again within 2 s after an outage of the store; the rest is slack. */
 const MEMBER_RELISTING_TIMEOUT_MS = 2400;
 const RETRY_DELAY_MS = 250;
@@ -35,6 +47,9 @@
 
   private isStoreReachable = false;
 
+  /** When checks began to find newer revisions than this instance knows. */
+  private conflictSince: Milliseconds | undefined;
+
   /** Aborts the current watch, whose connection may not have survived an outage. */
   private watchAbort = new AbortController();
 
@@ -58,7 +73,7 @@
     while (!this.isStopped && !(await this.loadSnapshot())) await this.pause();
     this.wasAlreadyListed = this.isRegistered;
     while (!this.isStopped && !this.isRegistered && !(await this.register())) await this.pause();
-    void this.runWatch();
+    void this.runWatch(this.wasAlreadyListed ? 0 : FIRST_WATCH_DELAY_MS);
     void this.runChecks();
   }
 
@@ -115,7 +130,8 @@
     return true;
   }
 
-  private async runWatch(): Promise<void> {
+  private async runWatch(initialDelayMs: number): Promise<void> {
+    await delay(initialDelayMs);
     while (!this.isStopped) {
       const after = this.watchedUpTo;
       if (after === undefined) {
@@ -138,8 +154,7 @@
 
   private async runChecks(): Promise<void> {
     while (!this.isStopped) {
-      const intervalMs = this.source.isRelay ? DIRECT_CHECK_INTERVAL_MS : RELAYED_CHECK_INTERVAL_MS;
-      await delay(this.isStoreReachable ? intervalMs : RETRY_DELAY_MS);
+      await delay(this.computeCheckInterval());
       if (this.isStopped) return;
       await this.runCheck();
     }
@@ -154,14 +169,20 @@
       await this.register();
       return;
     }
-    const own = this.view.listExpectations(this.self);
-    const ofSubscribers = this.relayServer.listSubscriberExpectations();
-    const checked = await this.source.check(own, ofSubscribers);
+    let own = this.view.listExpectations(this.self);
+    let ofSubscribers = this.relayServer.listSubscriberExpectations();
+    let checked = await this.source.check(own, ofSubscribers);
+    if (checked.isErr() && this.applyConflict(checked.error)) {
+      own = this.view.listExpectations(this.self);
+      ofSubscribers = this.relayServer.listSubscriberExpectations();
+      checked = await this.source.check(own, ofSubscribers);
+    }
     if (checked.isErr()) {
       if (checked.error.kind !== 'conflict') this.recordStoreState(false, checked.error.reason);
-      else await (this.isStoreReachable ? this.loadSnapshot() : this.resume());
+      else await (this.isStoreReachable ? this.handleConflict() : this.resume());
       return;
     }
+    this.conflictSince = undefined;
     const { asOf, isRelayed } = checked.value;
     if (!isRelayed) this.relayServer.recordCheck(asOf, [...own, ...ofSubscribers]);
     this.view.confirmation.confirm(asOf);
@@ -169,6 +190,36 @@
     else this.view.removeMissingMembers(this.clock.now());
   }
 
+  private computeCheckInterval(): number {
+    if (!this.isStoreReachable) return RETRY_DELAY_MS;
+    if (this.conflictSince !== undefined) return CONFLICT_RECHECK_INTERVAL_MS;
+    return this.source.isRelay ? DIRECT_CHECK_INTERVAL_MS : RELAYED_CHECK_INTERVAL_MS;
+  }
+
+  /**
+   * Applies what a store tells of the expected keys in a conflict, ahead of the watch.
+   *
+   * @param error - result of the check
+   * @returns whether the store told it, so that another check may succeed
+   */
+  private applyConflict({ current }: StoreError): boolean {
+    if (current !== undefined) this.view.apply(current);
+    return current !== undefined;
+  }
+
+  /**
+   * Handles a check at a relay that knows a newer revision than this instance. The watch is about to
+   * bring it: if every instance loaded the store instead, each change of a primary would cost a call
+   * for each of them. The store is loaded if the watch brings nothing.
+   */
+  private async handleConflict(): Promise<void> {
+    const now = this.clock.now();
+    this.conflictSince ??= now;
+    if (now - this.conflictSince < CONFLICT_GRACE_MS) return;
+    this.conflictSince = undefined;
+    await this.loadSnapshot();
+  }
+
   /**
    * Resumes after an outage: loads the store and restarts the watch over a new connection.
    *
--- a/packages/gateway/src/fleet/relayed-source.ts
+++ b/packages/gateway/src/fleet/relayed-source.ts
@@ -27,6 +27,13 @@
  * store.
  */
 const MAX_RELAYED_CONFIRMATION_AGE_MS = 1500;
+/** Age of a confirmation below which an instance does not check the store for a silent relay. */
+const MIN_DIRECT_CHECK_AGE_MS = 1100;
+/**
+ * The same for a relay that responds and has not checked all of the instance's keys yet; its next
+ * check comes within a second. Confirmations are recent enough to serve for 2.6 s.
+ */
+const MIN_DIRECT_CHECK_AGE_BESIDE_RELAY_MS = 1600;
 /** Delay after a failed direct check before this instance checks the store itself again. */
 const DIRECT_CHECK_RETRY_DELAY_MS = 1000;
 
@@ -93,12 +100,29 @@
     const relay = this.findRelay();
     const relayed = relay && (await this.checkAtRelay(relay, own));
     if (relayed !== undefined) return relayed;
+    const recent = relay && this.findRecentConfirmation(relay);
+    if (recent !== undefined) return recent;
     const direct = await this.checkDirectly(own, ofSubscribers);
     if (direct.isOk() || direct.error.kind === 'conflict') return direct;
     const backup = this.findBackupRelay();
     return (backup && (await this.checkAtRelay(backup, own))) ?? direct;
   }
 
+  /**
+   * Returns the newest confirmation again while it is recent. A relay that does not know this
+   * instance yet includes its record in the next check of the store, so that a fleet that starts at
+   * once does not check the store for each instance several times.
+   */
+  private findRecentConfirmation(relay: InstanceId): Result<CheckResult, StoreError> | undefined {
+    const now = this.clock.now();
+    const ageMs = this.view.confirmation.resolveAge(now);
+    const minAgeMs = this.isAvoided(relay)
+      ? MIN_DIRECT_CHECK_AGE_MS
+      : MIN_DIRECT_CHECK_AGE_BESIDE_RELAY_MS;
+    if (ageMs >= minAgeMs) return undefined;
+    return ok({ asOf: toMilliseconds(now - ageMs), isRelayed: true });
+  }
+
   private async checkDirectly(
     own: readonly Expectation[],
     ofSubscribers: readonly Expectation[],
--- a/packages/gateway/src/ports/control-store.ts
+++ b/packages/gateway/src/ports/control-store.ts
@@ -23,6 +23,8 @@
 
 /** A failed call to the store. */
 export interface StoreError {
+  /** For `conflict`: the present items of the expected keys, if the store named them all. */
+  readonly current?: readonly StoreEvent[];
   readonly kind: StoreErrorKind;
   readonly reason: string;
 }
--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -8,7 +8,7 @@
 } from '@heatherledge/core';
 import { err, ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import type { FleetDirectory } from '../../src/index.js';
+import { encodeRecord, type FleetDirectory } from '../../src/index.js';
 import { MemoryFleet, type MemoryInstance } from '../fixtures/memory-fleet.js';
 
 const DIRECTORY: FleetDirectory = {
@@ -92,6 +92,41 @@
       expect(maxAgeMs).toBeLessThan(1800);
     });
 
+    /**
+     * Load pattern: all instances of a large fleet start at once. Each lists the store, registers
+     * itself, and watches once or twice until it knows its relay.
+     */
+    it('let a starting instance call the store four times at most', async () => {
+      fleet = new MemoryFleet(60, 6, DIRECTORY);
+      fleet.store.put('settings', Buffer.from('1'));
+      fleet.start();
+      await fleet.advance(3000);
+      const relays = 6;
+      expect(fleet.store.calls).toBeLessThanOrEqual(60 * 4 + relays * 3 * 3);
+    });
+
+    /** Load pattern: 14 groups record their primaries one after the other while the fleet starts. */
+    it('bring changes in quick succession without a listing of the store by each instance', async () => {
+      await startFleet(60, 6);
+      fleet.store.calls = 0;
+      fleet.store.listings = 0;
+      let maxAgeMs = 0;
+      for (let change = 0; change < 14; change += 1) {
+        const key = `heatherledge/primary/g${change}`;
+        fleet.store.put(key, encodeRecord({ epoch: 1, member: 'm', holders: [] }));
+        await fleet.advance(150, () => {
+          const ages = fleet.instances.map((instance) => instance.resolveAge(fleet.clock.now()));
+          maxAgeMs = Math.max(maxAgeMs, ...ages);
+        });
+      }
+      await fleet.advance(1000);
+      for (const { view } of fleet.instances) expect(view.primaries.size).toBe(14);
+      expect(fleet.store.listings).toBe(0);
+      // Six relays with eight calls a second each, watches and checks, for 3.1 s.
+      expect(fleet.store.calls).toBeLessThan(150);
+      expect(maxAgeMs).toBeLessThan(2600);
+    });
+
     it('deliver new settings to all instances at once', async () => {
       await startFleet(12, 3);
       fleet.store.put('settings', Buffer.from('2'));
