Let a host hold most of a member's connections, and the standby those of a silent host

A standby had 3 while its host was down.

Change: the host may hold 0.82 of the limit and the standby 0.1; a standby whose host does not answer has the host's limit.

--- a/packages/core/src/serving/connection-budget.ts
+++ b/packages/core/src/serving/connection-budget.ts
@@ -1,19 +1,22 @@
 /** Position of an instance among those that may connect to a member. */
 export type HostRank =
-  /** Owns the member's connections. */
+  /** Owns the member's connections, or stands in for an instance that does and does not answer. */
   | 'host'
   /** Takes over while the host cannot be reached. */
   | 'standby'
   /** Connects only while it can reach neither. */
   | 'other';
 
-/** Fraction of a member's connections that its host may hold. */
-const HOST_FRACTION = 0.7;
 /**
- * Fraction that the standby may hold. Together with the host's it leaves a few connections for
- * instances that reach neither, and for the change of primary.
+ * Fraction of a member's connections that its host may hold. Open transactions hold one each, so the
+ * host of a primary that accepts 16 needs nearly all of them.
  */
-const STANDBY_FRACTION = 0.2;
+const HOST_FRACTION = 0.82;
+/**
+ * Fraction that the standby may hold while the host serves. Together with the host's it leaves a few
+ * connections for instances that reach neither, and for the change of primary.
+ */
+const STANDBY_FRACTION = 0.1;
 /** Connections of an instance that reaches neither host; closed as soon as they are unused. */
 const MAX_OTHER_CONNECTIONS = 2;
 /** A host needs at least this many to run statements while one transaction rests. */
--- a/packages/gateway/src/hosting/host-directory.ts
+++ b/packages/gateway/src/hosting/host-directory.ts
@@ -98,9 +98,11 @@
   }
 
   private resolveRank(entry: MemberEntry): HostRank {
-    const index = this.listHosts(entry).indexOf(this.self);
-    if (index < 0) return 'other';
-    return index === 0 ? 'host' : 'standby';
+    const [host, standby] = this.listHosts(entry);
+    if (host === this.self) return 'host';
+    if (standby !== this.self || host === undefined) return 'other';
+    // A killed host leaves its connections to the standby until the fleet has forgotten it.
+    return this.availability.isAvailable(host, this.clock.now()) ? 'standby' : 'host';
   }
 
   private mayUse(host: InstanceId, member: MemberId, now: Milliseconds): boolean {
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -67,12 +67,6 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  /**
-   * Whether the pools' limits must be recomputed. This happens once per maintenance run instead of
-   * with each change, because it goes through all organisations.
-   */
-  private needsLimitUpdate = false;
-
   constructor(
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
@@ -242,19 +236,15 @@
     return isSameRegion ? 1 : 2;
   }
 
-  /** Recomputes the pools' limits if the fleet has changed, and closes connections not needed. */
+  /** Recomputes the pools' limits, which depend on the hosts that answer, and closes connections. */
   private runMaintenance(): void {
-    if (this.needsLimitUpdate) {
-      this.needsLimitUpdate = false;
-      for (const { entry, limits } of this.states.values()) {
-        Object.assign(limits, this.hosts.computeBudget(entry));
-      }
+    for (const { entry, limits, pool } of this.states.values()) {
+      Object.assign(limits, this.hosts.computeBudget(entry));
+      pool.trim();
     }
-    for (const { pool } of this.states.values()) pool.trim();
   }
 
   private applyView(): void {
-    this.needsLimitUpdate = true;
     for (const [id, state] of this.states) {
       const entry = this.view.members.get(id);
       if (entry !== undefined && isSameEndpoint(entry, state.entry)) continue;
--- a/packages/gateway/test/hosting/member-access-router.test.ts
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -1,5 +1,7 @@
 import {
   ConfirmationTracker,
+  type FleetSettings,
+  type GroupId,
   type InstanceId,
   ManualClock,
   type MemberEntry,
@@ -7,7 +9,7 @@
   toMilliseconds,
 } from '@heatherledge/core';
 import type { PeerBody, PeerExchange, PeerHub } from '@heatherledge/daemon';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { beforeEach, describe, expect, it } from 'vitest';
 import {
   encodeRecord,
@@ -29,7 +31,16 @@
 import { createStatementRequest, MEMBER } from '../fixtures/hosting-pair.js';
 
 const INSTANCES = ['i0', 'i1', 'i2', 'i3'].map((id) => toBrand<InstanceId>(id));
-const ENTRY = { id: MEMBER, group: toBrand('g'), failureDomain: 'a' } as MemberEntry;
+const ENTRY = { id: MEMBER, group: toBrand<GroupId>('g'), failureDomain: 'a' } as MemberEntry;
+const GROUP = toBrand<GroupId>('g');
+const SETTINGS: FleetSettings = {
+  version: 1,
+  routesByDatabase: new Map(),
+  groups: new Map([[GROUP, { id: GROUP, maxConnections: 16, syncReplicas: 1 }]]),
+  organisations: new Map(),
+  organisationByKey: new Map(),
+  transactionIdleMs: toMilliseconds(3000),
+};
 const SERVED: StatementResult = {
   kind: 'answered',
   reply: { ...EMPTY_REPLY, signature: 'sig' },
@@ -39,6 +50,7 @@
 describe('MemberAccessRouter', () => {
   let clock: ManualClock;
   let directory: HostDirectory;
+  let view: FleetView;
   let router: MemberAccessRouter;
   let ownRefusal: ErrorCode | undefined;
   /** Instances that statements were sent to, in order; the own instance is `local`. */
@@ -54,11 +66,11 @@
     ownRefusal = undefined;
     respond = () => SERVED;
     const limit = toMilliseconds(1000);
-    const view = new FleetView(
+    view = new FleetView(
       {
         settingsKey: 's',
         membersPrefix: 'm/',
-        decodeSettings: () => err('none'),
+        decodeSettings: () => ok(SETTINGS),
         decodeMember: () => err('none'),
       },
       new ConfirmationTracker({
@@ -69,14 +81,17 @@
       new EventLog(clock),
     );
     const revision = 1 as StoreRevision;
-    view.replace(
-      INSTANCES.map((id) => ({
-        key: formatInstanceKey(id),
-        value: encodeRecord({ host: 'h', peerPort: 1, domain: 'a', cores: 1 }),
-        revision,
-        createdRevision: revision,
-      })),
-    );
+    const createItem = (key: string, value: Buffer) => ({
+      key,
+      value,
+      revision,
+      createdRevision: revision,
+    });
+    const record = encodeRecord({ host: 'h', peerPort: 1, domain: 'a', cores: 1 });
+    view.replace([
+      createItem('s', Buffer.from('')),
+      ...INSTANCES.map((id) => createItem(formatInstanceKey(id), record)),
+    ]);
     hosts = new HostDirectory(INSTANCES[0] as InstanceId, view, clock).listHosts(ENTRY);
     const self = INSTANCES.find((id) => !hosts.includes(id)) as InstanceId;
     directory = new HostDirectory(self, view, clock);
@@ -176,6 +191,18 @@
     });
   });
 
+  it('lets the standby hold the connections of a host that does not answer, and no longer', () => {
+    const [host, standby] = hosts as [InstanceId, InstanceId];
+    const own = new HostDirectory(standby, view, clock);
+    const usual = own.computeBudget(ENTRY).maxConnections;
+    own.availability.recordFailure(host, clock.now());
+    const acting = own.computeBudget(ENTRY).maxConnections;
+    expect(acting).toBe(new HostDirectory(host, view, clock).computeBudget(ENTRY).maxConnections);
+    expect(acting).toBeGreaterThan(usual);
+    own.availability.recordHeard(host, clock.now());
+    expect(own.computeBudget(ENTRY).maxConnections).toBe(usual);
+  });
+
   it('sends nothing new to a host that has announced its stop', async () => {
     directory.availability.recordLeaving(hosts[0] as InstanceId, clock.now());
     await router.run(createStatementRequest());
