--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,3 +15,4 @@
 export * from './runtime/system-clock.js';
 export * from './peers/peer-link.js';
 export * from './peers/pending-requests.js';
+export * from './peers/outbound-link.js';
