--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,3 +16,4 @@
 export * from './peers/peer-link.js';
 export * from './peers/pending-requests.js';
 export * from './peers/outbound-link.js';
+export * from './peers/peer-hub-types.js';
--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -1,5 +1,5 @@
 import type { AddressInfo } from 'node:net';
-import type { InstanceId, InstanceRecord } from '@heatherledge/core';
+import type { InstanceId } from '@heatherledge/core';
 import { WebSocket, WebSocketServer } from 'ws';
 import {
   MAX_PEER_FRAME_BYTES,
@@ -7,57 +7,20 @@
   type PeerLinkIdentity,
   type PeerLinkListener,
 } from './peer-link.js';
-import type { Envelope, PeerBody, PeerBodyOf, PeerMessageKind } from './peer-messages.js';
+import type { Envelope, PeerBody, PeerMessageKind } from './peer-messages.js';
+import type {
+  ExchangeOptions,
+  PeerAddress,
+  PeerCounts,
+  PeerHandler,
+  PeerProblemListener,
+  PeerResolver,
+} from './peer-hub-types.js';
 import { OutboundLink, type OutboundLinkListener, type QueuedEnvelope } from './outbound-link.js';
 import { type PeerExchange, PendingRequests } from './pending-requests.js';
 
-/**
- * Handles messages of one kind. A request without a result is answered with `done`, one whose handler
- * throws with `unsupported`.
- */
-export type PeerHandler<Kind extends PeerMessageKind> = (
-  body: PeerBodyOf<Kind>,
-  from: InstanceId,
-  link: PeerLink,
-) => Promise<PeerBody | undefined> | PeerBody | undefined;
-
-/** Finds the record of an instance; undefined if it is unknown. */
-export type PeerResolver = (id: InstanceId) => InstanceRecord | undefined;
-
-/** Receives a problem with a message of another instance. */
-export type PeerProblemListener = (problem: {
-  readonly peer: InstanceId | undefined;
-  /** Kind of the message, if it is known. */
-  readonly kind: string | undefined;
-  readonly reason: string;
-}) => void;
-
-/** Address that the hub listens on. */
-export interface PeerAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** Counters for metrics and the state dump; bytes are added when a link closes. */
-export interface PeerCounts {
-  bytesSent: number;
-  bytesReceived: number;
-  messagesSent: number;
-  messagesReceived: number;
-  /** Links closed because of a malformed or unauthenticated frame, or a handshake timeout. */
-  refused: number;
-}
-
 const LINK_IDLE_TIMEOUT_MS = 60_000;
 const IDLE_CHECK_INTERVAL_MS = 15_000;
-/** What a request needs of its link. */
-export interface ExchangeOptions {
-  /** Optional part of the protocol that the receiver must support. */
-  readonly feature?: string;
-  /** Maximum wait for the link to open, in milliseconds; the request is not sent after it. */
-  readonly connectTimeoutMs?: number;
-}
-
 /**
  * Exchanges messages with other instances: opens links on demand, closes idle ones and matches
  * responses to requests.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,10 @@
 import {
   ConfirmationTracker,
-  DEFAULT_LOAN_TIMINGS,
-  type AdmissionRules,
   type InstanceRecord as PeerRecord,
-  type OrganisationId,
   toMilliseconds,
 } from '@heatherledge/core';
-import { createRandom, DEFAULT_ADMISSION_RULES, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { createRandom, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { resolveConfirmationLimits } from './fleet/confirmation-limits.js';
 import { CoordinatorLease } from './failover/coordinator-lease.js';
 import { PrimaryMonitor } from './failover/primary-monitor.js';
 import { InstanceSweeper } from './failover/instance-sweeper.js';
@@ -19,9 +17,7 @@
 import { StoreSource } from './fleet/store-source.js';
 import { MemberRegistry } from './members/member-registry.js';
 import { HostDirectory } from './hosting/host-directory.js';
-import { LocalMemberAccess } from './hosting/local-member-access.js';
-import { MemberAccessRouter } from './hosting/member-access-router.js';
-import { MemberHostServer } from './hosting/member-host-server.js';
+import { HostingTasks } from './hosting/hosting-tasks.js';
 import { SampleExchange } from './members/sample-exchange.js';
 import type { CallerListener } from './ports/caller-protocol.js';
 import type { ControlStore } from './ports/control-store.js';
@@ -30,38 +26,17 @@
 import type { EventLog } from './runtime/event-log.js';
 import { GatewayMetrics } from './runtime/gateway-metrics.js';
 import type { SuspensionAwareClock } from './runtime/suspension-aware-clock.js';
+import { GATEWAY_ADMISSION_RULES } from './sessions/admission-rules.js';
 import { SettingsGrantChecker } from './sessions/settings-grant-checker.js';
 import { SessionRegistry } from './sessions/session-registry.js';
 import type { GatewaySettings } from './settings.js';
 
-/** Maximum time between the last check of a statement's key and its arrival at a member. */
-const KEY_CHECK_MARGIN_MS = 1000;
-/**
- * Maximum age of the store's confirmation at which the known primary is trusted; a change of
- * primary waits as long for instances that do not acknowledge the suspension of the old one.
- */
-const MAX_PRIMARY_CONFIRMATION_AGE_MS = 2800;
-/** Maximum age of the store's confirmation at which the instance is ready for new callers. */
-const MAX_READY_CONFIRMATION_AGE_MS = 2600;
 /**
  * Shared secret of the instances. They are reached only on the platform's own network; the secret
  * prevents accidental connections by other processes.
  */
 const PEER_SECRET = 'heatherledge-gateway';
 
-/**
- * Admission rules of the gateway. A request beyond the rate is refused almost at once: it waits
- * only as long as a token loan may be in transit. Opening a link to an instance in another region
- * takes four round trips, 100 ms, and a loan request takes one.
- */
-export const GATEWAY_ADMISSION_RULES: AdmissionRules = {
-  ...DEFAULT_ADMISSION_RULES,
-  loans: { ...DEFAULT_LOAN_TIMINGS, loanUnitTokens: 1 },
-  maxWaitMs: toMilliseconds(300),
-  maxWaitingRequests: 8,
-  loanRequestTimeoutMs: toMilliseconds(250),
-  refusesUnservable: true,
-};
 /** Start of the process on its own clock; no request was admitted before. */
 const PROCESS_STARTED_AT = toMilliseconds(0);
 /**
@@ -73,9 +48,6 @@
 /** Share of the stop timeout in which statements of other instances may end. */
 const MAX_HOST_DRAIN_RATIO = 0.85;
 
-/** Weight of an organisation without a rate, in requests per second. */
-const MIN_ORGANISATION_WEIGHT = 1;
-
 /** Adapters for the platform's services and protocols. */
 export interface GatewayPorts {
   readonly store: ControlStore;
@@ -109,9 +81,7 @@
 
   private readonly instanceSweeper: InstanceSweeper;
 
-  private readonly hostServer: MemberHostServer;
-
-  private readonly accessRouter: MemberAccessRouter;
+  private readonly hosting: HostingTasks;
 
   private readonly sessionRegistry: SessionRegistry;
 
@@ -130,15 +100,8 @@
     private readonly log: EventLog,
   ) {
     const { instance, maxKeyRevocationDelayMs, host, peerPort, failureDomain } = settings;
-    const maxKeyedAgeMs = toMilliseconds(maxKeyRevocationDelayMs - KEY_CHECK_MARGIN_MS);
-    const maxPrimaryAgeMs = toMilliseconds(
-      Math.min(MAX_PRIMARY_CONFIRMATION_AGE_MS, maxKeyedAgeMs),
-    );
-    const confirmation = new ConfirmationTracker({
-      maxKeyedAgeMs,
-      maxPrimaryAgeMs,
-      maxReadyAgeMs: toMilliseconds(MAX_READY_CONFIRMATION_AGE_MS),
-    });
+    const confirmationLimits = resolveConfirmationLimits(maxKeyRevocationDelayMs);
+    const confirmation = new ConfirmationTracker(confirmationLimits);
     const { store, directory, promotions, members } = ports;
     this.view = new FleetView(directory, confirmation, log);
     const hosts = new HostDirectory(instance, this.view, clock);
@@ -210,7 +173,7 @@
         hub: this.peerHub,
         memberRegistry: this.memberRegistry,
         log,
-        confirmationTtlMs: maxPrimaryAgeMs,
+        confirmationTtlMs: confirmationLimits.maxPrimaryAgeMs,
       },
       this.peerHub,
       this.metrics,
@@ -226,35 +189,22 @@
     );
     this.shareAllocator = new RateShareAllocator(instance, maxKeyRevocationDelayMs);
     const grantChecker = new SettingsGrantChecker(this.view, clock);
-    const localAccess = new LocalMemberAccess(
-      this.memberRegistry,
-      grantChecker,
-      clock,
-      this.random,
-      (organisation) => this.findWeight(organisation),
-    );
-    this.hostServer = new MemberHostServer(
-      this.peerHub,
-      localAccess,
-      this.memberRegistry,
-      this.view,
-      clock,
-      log,
-    );
-    this.accessRouter = new MemberAccessRouter(
-      instance,
-      this.peerHub,
+    this.hosting = new HostingTasks({
+      self: instance,
+      hub: this.peerHub,
       hosts,
-      localAccess,
-      this.memberRegistry,
+      memberRegistry: this.memberRegistry,
       grantChecker,
+      metrics: this.metrics,
+      view: this.view,
       clock,
+      random: this.random,
       log,
-    );
+    });
     this.sessionRegistry = new SessionRegistry({
       clock,
       memberRegistry: this.memberRegistry,
-      memberAccess: this.accessRouter,
+      memberAccess: this.hosting.access,
       grantChecker,
       metrics: this.metrics,
       log,
@@ -275,7 +225,7 @@
     await this.metrics.serve(host, metricsPort, () => this.describe());
     await ports.callers.start((channel) => this.sessionRegistry.accept(channel));
     this.memberRegistry.start();
-    this.accessRouter.start();
+    this.hosting.start();
     await this.viewUpdater.start();
     if (this.viewUpdater.wasAlreadyListed) this.shareAllocator.resumeShare();
     this.updateRateShares();
@@ -297,12 +247,11 @@
     this.log.info('gateway.stopping', { sessions: this.sessionRegistry.count });
     this.primaryMonitor.stop();
     this.instanceSweeper.stop();
-    this.peerHub.broadcast({ kind: 'host.leaving' });
+    this.hosting.announceStop();
     const { stopTimeoutMs } = this.settings;
     const drainUntil = this.clock.now() + stopTimeoutMs * MAX_HOST_DRAIN_RATIO;
     await Promise.all([this.coordinatorLease.stop(), this.sessionRegistry.drain(stopTimeoutMs)]);
-    await this.hostServer.drain(drainUntil - this.clock.now());
-    this.accessRouter.stop();
+    await this.hosting.stop(drainUntil - this.clock.now());
     this.ports.callers.stop();
     clearInterval(this.rateShareTimer);
     this.limits.stop();
@@ -345,12 +294,6 @@
     this.limits.update(settings, this.shareAllocator.computeShare(instances, this.clock.now()));
   }
 
-  /** Organisations share an overloaded member in proportion to their rates. */
-  private findWeight(organisation: OrganisationId | undefined): number {
-    const rate = organisation && this.view.settings?.organisations.get(organisation);
-    return Math.max(MIN_ORGANISATION_WEIGHT, rate?.requestsPerSecond ?? MIN_ORGANISATION_WEIGHT);
-  }
-
   private findPeer(id: PeerRecord['id']): PeerRecord | undefined {
     const record = this.view.instances.get(id)?.value;
     if (record === undefined) return undefined;
--- a/packages/gateway/src/hosting/member-access-router.ts
+++ b/packages/gateway/src/hosting/member-access-router.ts
@@ -2,6 +2,7 @@
 import type { PeerHub } from '@heatherledge/daemon';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { EventLog } from '../runtime/event-log.js';
+import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { Credentials, GrantChecker } from '../sessions/grants.js';
 import type { HostDirectory } from './host-directory.js';
 import {
@@ -37,6 +38,7 @@
     private readonly local: MemberAccess,
     private readonly memberRegistry: MemberRegistry,
     private readonly grantChecker: GrantChecker,
+    private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
@@ -100,8 +102,8 @@
   private getRemote(host: InstanceId): RemoteMemberAccess {
     const known = this.remotes.get(host);
     if (known !== undefined) return known;
-    const { hub, directory, memberRegistry, clock } = this;
-    const remote = new RemoteMemberAccess(host, hub, directory, memberRegistry, clock);
+    const { hub, directory, memberRegistry, metrics, clock } = this;
+    const remote = new RemoteMemberAccess(host, hub, directory, memberRegistry, metrics, clock);
     this.remotes.set(host, remote);
     return remote;
   }
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -2,6 +2,7 @@
 import { MEMBER_HOSTING_FEATURE, type PeerBody, type PeerHub } from '@heatherledge/daemon';
 import type { ExchangeResult } from '../members/member-connection.js';
 import type { MemberRegistry } from '../members/member-registry.js';
+import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import {
   decodeResult,
   encodeConnectionRequest,
@@ -38,6 +39,7 @@
     private readonly hub: PeerHub,
     private readonly directory: HostDirectory,
     private readonly memberRegistry: MemberRegistry,
+    private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
   ) {}
 
@@ -119,10 +121,12 @@
     load?.recordEnd();
     directory.availability.recordEnded(host, exchange.kind === 'answered', now);
     if (exchange.kind === 'lost') {
+      this.metrics.forwardedRequests.inc({ outcome: exchange.wasSent ? 'lost' : 'not-sent' });
       return exchange.wasSent
         ? { kind: 'lost', reason: 'the host did not answer', wasSent: true }
         : createRefusal('unreachable', 'busy', 'the host cannot be reached');
     }
+    this.metrics.forwardedRequests.inc({ outcome: 'answered' });
     if (exchange.body.kind === 'member.result' && exchange.body.pending !== undefined) {
       load?.recordReport({ pending: exchange.body.pending }, now);
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,3 +34,5 @@
 export * from './hosting/member-host-server.js';
 export * from './hosting/remote-member-access.js';
 export * from './hosting/slot-gate.js';
+export * from './hosting/hosting-tasks.js';
+export * from './sessions/admission-rules.js';
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -33,6 +33,13 @@
     registers: [this.registry],
   });
 
+  readonly forwardedRequests = new Counter({
+    name: 'heatherledge_gateway_forwarded_requests_total',
+    help: 'Requests sent to the hosts of members, by outcome.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+
   readonly primaryChanges = new Counter({
     name: 'heatherledge_gateway_primary_changes_total',
     help: 'Changes of primary that this instance carried out, by outcome.',
--- a/packages/gateway/test/hosting/member-access-router.test.ts
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -17,6 +17,7 @@
   EventLog,
   FleetView,
   formatInstanceKey,
+  GatewayMetrics,
   HostDirectory,
   createRefusal,
   type ErrorCode,
@@ -128,6 +129,7 @@
       local,
       registry,
       grantChecker,
+      new GatewayMetrics(),
       clock,
       log,
     );
