Keep half of a member's connections idle at most; release slots of lost answers

Statements whose answers are lost held their slots until their timeouts, found by reading.

Change: a host keeps half of the limit idle at most; a slot is released after 150 ms; a statement may wait for its objective, and is refused only then.

--- a/packages/core/src/serving/connection-budget.ts
+++ b/packages/core/src/serving/connection-budget.ts
@@ -12,6 +12,11 @@
  * host of a primary that accepts 16 needs nearly all of them.
  */
 const HOST_FRACTION = 0.82;
+/**
+ * Fraction that the host may keep open without a request. After a power loss of the fleet, members
+ * hold the connections that were open for 3 s more, and only the others can be opened again.
+ */
+const HOST_IDLE_FRACTION = 0.5;
 /**
  * Fraction that the standby may hold while the host serves. Together with the host's it leaves a few
  * connections for instances that reach neither, and for the change of primary.
@@ -45,7 +50,8 @@
   switch (rank) {
     case 'host': {
       const limit = Math.max(MIN_HOST_CONNECTIONS, Math.floor(memberLimit * HOST_FRACTION));
-      return { maxConnections: limit, maxIdleConnections: limit };
+      const maxIdleConnections = Math.min(limit, Math.ceil(memberLimit * HOST_IDLE_FRACTION));
+      return { maxConnections: limit, maxIdleConnections };
     }
     case 'standby': {
       const limit = Math.max(MAX_OTHER_CONNECTIONS, Math.floor(memberLimit * STANDBY_FRACTION));
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -70,7 +70,7 @@
     try {
       return await this.runInSlot(request, startedAt);
     } finally {
-      gate.release();
+      admitted.release();
     }
   }
 
@@ -208,7 +208,7 @@
     try {
       return await this.runInSlot(statement, values, timeoutMs);
     } finally {
-      this.gate?.release();
+      admitted?.release();
     }
   }
 
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -8,7 +8,11 @@
 
 /** How a request for a slot ended. */
 export type SlotResult =
-  | { readonly kind: 'granted' }
+  | {
+      readonly kind: 'granted';
+      /** Releases the slot; further calls have no effect. */
+      readonly release: () => void;
+    }
   | { readonly kind: 'timeout' }
   | {
       readonly kind: 'overloaded';
@@ -22,6 +26,14 @@
   readonly waitMs: number;
 };
 
+/** A statement waits up to this multiple of the wait that it may be estimated to have. */
+const MAX_WAIT_FACTOR = 1.5;
+/**
+ * A statement takes at most 110 ms, and a new connection 12 ms. If its reply is lost, it waits for its
+ * timeout, but the member has long been running others.
+ */
+const MAX_SLOT_HOLD_MS = 150;
+
 interface Waiter {
   readonly ticket: SlotTicket;
   readonly resolve: (result: SlotResult) => void;
@@ -51,7 +63,8 @@
   }
 
   /**
-   * Waits for a slot, which the caller must release if it is granted.
+   * Waits for a slot, which the caller must release if it is granted; one that is held for longer
+   * than a statement takes is released without it.
    *
    * @param request - the statement
    * @returns whether the statement may run
@@ -62,29 +75,35 @@
       { ...request, deadline: toMilliseconds(now + waitMs) },
       now,
     );
-    if (decision.kind === 'granted') return decision;
+    if (decision.kind === 'granted') return this.createGrant();
     if (decision.kind === 'refused') {
       return { kind: 'overloaded', retryAfterMs: decision.retryAfterMs };
     }
     const { ticket } = decision;
     return new Promise((resolve) => {
-      // The accepted wait is enforced as well as estimated: beyond it, the statement would be late,
-      // and so would those behind it.
-      const { maxEstimatedWaitMs } = request;
+      // Beyond its objective a statement would be served late, and delay those behind it.
+      const objectiveMs = request.maxEstimatedWaitMs * MAX_WAIT_FACTOR;
       const result: SlotResult =
-        maxEstimatedWaitMs < waitMs
-          ? { kind: 'overloaded', retryAfterMs: maxEstimatedWaitMs }
+        objectiveMs < waitMs
+          ? { kind: 'overloaded', retryAfterMs: request.maxEstimatedWaitMs }
           : { kind: 'timeout' };
-      const maxWaitMs = Math.min(waitMs, maxEstimatedWaitMs);
+      const maxWaitMs = Math.min(waitMs, objectiveMs);
       const timer = setTimeout(() => this.expire(ticket, result), Math.max(1, maxWaitMs));
       this.waiters.set(formatTicket(ticket), { ticket, resolve, timer });
     });
   }
 
-  /** Releases a slot. */
-  release(): void {
-    const next = this.queue.release(this.clock.now());
-    if (next !== undefined) this.settle(next, { kind: 'granted' });
+  private createGrant(): SlotResult {
+    let isReleased = false;
+    const release = (): void => {
+      if (isReleased) return;
+      isReleased = true;
+      clearTimeout(timer);
+      const next = this.queue.release(this.clock.now());
+      if (next !== undefined) this.settle(next, this.createGrant());
+    };
+    const timer = setTimeout(release, MAX_SLOT_HOLD_MS);
+    return { kind: 'granted', release };
   }
 
   private expire(ticket: SlotTicket, result: SlotResult): void {
