--- a/packages/lab/src/placement/policies.ts
+++ b/packages/lab/src/placement/policies.ts
@@ -1,4 +1,10 @@
-import { MemberSlotQueue, type OrganisationId, toBrand, toMilliseconds } from '@heatherledge/core';
+import {
+  MemberSlotQueue,
+  type OrganisationId,
+  resolveConnectionBudget,
+  toBrand,
+  toMilliseconds,
+} from '@heatherledge/core';
 import type { EventQueue } from '../faults/event-queue.js';
 import { type ModelMember, SLOTS } from './model-member.js';
 
@@ -44,9 +50,16 @@
   { name: 'all-knowing', choice: 'exact', order: 'fair', isHosted: true, refuses: true },
 ];
 
+/** Connections that a member accepts. */
+const MEMBER_CONNECTION_LIMIT = 90;
 /** Idle connections of a host, and of an instance that connects by itself among 195. */
-const HOST_IDLE_CONNECTIONS = 63;
+const HOST_IDLE_CONNECTIONS = resolveConnectionBudget(
+  MEMBER_CONNECTION_LIMIT,
+  'host',
+).maxIdleConnections;
 const OWN_IDLE_CONNECTIONS = 0;
+/** Multiple of the accepted wait after which the gateway's slot gate refuses a statement. */
+const MAX_WAIT_FACTOR = 1.5;
 /** Delay before a statement that a busy member refused is sent again. */
 const BUSY_RETRY_MS = 20;
 /** Age beyond which a report says nothing about a queue. */
@@ -120,7 +133,7 @@
       const { priority, ticket } = decision.ticket;
       const key = `${member}/${priority}/${ticket}`;
       this.waiting.set(key, () => this.send(member, statement));
-      const maxWaitMs = this.plan.refuses ? statement.maxWaitMs : Infinity;
+      const maxWaitMs = this.plan.refuses ? statement.maxWaitMs * MAX_WAIT_FACTOR : Infinity;
       const waitMs = Math.min(maxWaitMs, statement.deadline - this.events.now());
       this.events.schedule(waitMs, () => {
         if (!this.waiting.delete(key)) return;
