--- a/packages/core/src/hosting/host-availability.ts
+++ b/packages/core/src/hosting/host-availability.ts
@@ -82,9 +82,9 @@
     this.getState(host).leavingUntil = (now + this.timings.leavingTtlMs) as Milliseconds;
   }
 
-  /** Forgets a host, whose process was replaced or which is no longer listed. */
-  remove(host: InstanceId): void {
-    this.states.delete(host);
+  /** Forgets the hosts that are no longer listed, so that they are not pinged any more. */
+  removeUnlisted(isListed: (host: InstanceId) => boolean): void {
+    for (const host of this.states.keys()) if (!isListed(host)) this.states.delete(host);
   }
 
   /**
--- a/packages/core/test/units/hosting.test.ts
+++ b/packages/core/test/units/hosting.test.ts
@@ -125,6 +125,14 @@
     expect(availability.takeDuePings(at(500))).toEqual([HOST]);
   });
 
+  it('is forgotten with a host that is no longer listed, which is not pinged any more', () => {
+    availability.recordFailure(HOST, at(0));
+    availability.removeUnlisted((host) => host === HOST);
+    expect(availability.takeDuePings(at(250))).toEqual([HOST]);
+    availability.removeUnlisted(() => false);
+    expect(availability.takeDuePings(at(5000))).toEqual([]);
+  });
+
   it('does not return for a host that is stopping, although it still answers', () => {
     availability.recordLeaving(HOST, at(0));
     availability.recordHeard(HOST, at(10));
--- a/packages/gateway/src/hosting/host-directory.ts
+++ b/packages/gateway/src/hosting/host-directory.ts
@@ -51,6 +51,7 @@
       if (!instances) return;
       this.candidatesByDomain = undefined;
       this.hostsByMember.clear();
+      this.availability.removeUnlisted((host) => view.instances.has(host));
     });
   }
 
