Take a failed handler or a damaged answer of a host for an unknown outcome

Cause, found by reading the change: a host whose handler threw after the member had run a statement, and an answer that could not be decoded, both arrived as unsupported, which stands for not run; a write was then sent again. A message over the other instance's link also kept a silent link from being replaced.

Change: such requests end as failed, which counts as lost after it was sent; unsupported is left for requests that were never handled. Only messages on a link itself show that it is alive.

Measured: two new tests and the changed one failed before (refused as not run) and pass now, 65 of hosting and daemon in all; lint and types are clean.

--- a/packages/daemon/src/peers/peer-hub-types.ts
+++ b/packages/daemon/src/peers/peer-hub-types.ts
@@ -4,7 +4,7 @@
 
 /**
  * Handles messages of one kind. A request without a result is answered with `done`, one whose handler
- * throws with `unsupported`.
+ * throws with `failed`.
  */
 export type PeerHandler<Kind extends PeerMessageKind> = (
   body: PeerBodyOf<Kind>,
--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -182,7 +182,8 @@
   onMessage(link: PeerLink, envelope: Envelope): void {
     this.counts.messagesReceived += 1;
     const outbound = link.peer === undefined ? undefined : this.links.get(link.peer);
-    if (outbound !== undefined) outbound.recordHeard();
+    // A message over the other instance's link says nothing about the link from here.
+    if (outbound?.link === link) outbound.recordHeard();
     if (envelope.answer !== undefined) this.pendingRequests.answer(envelope.answer, envelope.body);
     else void this.dispatch(link, envelope);
   }
@@ -232,7 +233,7 @@
       response ??= await handler?.(envelope.body as never, link.peer, link);
     } catch (error) {
       this.onProblem({ peer: link.peer, kind: envelope.body.kind, reason: String(error) });
-      response = { kind: 'unsupported' };
+      response = { kind: 'failed' };
     }
     if (envelope.ask !== undefined) {
       this.write(link, { answer: envelope.ask, body: response ?? { kind: 'done' } });
--- a/packages/daemon/src/peers/peer-link.ts
+++ b/packages/daemon/src/peers/peer-link.ts
@@ -136,7 +136,8 @@
     const { ask, answer, body } = numbers.data;
     this.listener.onUndecodable(this, body.kind);
     if (answer !== undefined) {
-      this.listener.onMessage(this, { answer, body: { kind: 'unsupported' } });
+      // The request was handled, with an outcome that is not known here.
+      this.listener.onMessage(this, { answer, body: { kind: 'failed' } });
     } else if (ask !== undefined) this.send({ answer: ask, body: { kind: 'unsupported' } });
   }
 
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -187,7 +187,9 @@
   }),
   /** Response without content. */
   z.object({ kind: z.literal('done') }),
-  /** Response to a request that the receiver cannot decode, such as one of a later version. */
+  /** Response to a request that failed while it was handled; it may have had an effect. */
+  z.object({ kind: z.literal('failed') }),
+  /** Response to a request that the receiver does not know, such as one of a later version. */
   z.object({ kind: z.literal('unsupported') }),
 ]);
 
--- a/packages/gateway/test/hosting/hosted-statements.test.ts
+++ b/packages/gateway/test/hosting/hosted-statements.test.ts
@@ -123,6 +123,18 @@
     });
   });
 
+  /** Guards against a write that runs twice: its host fails, or its answer is damaged, after it ran. */
+  describe('whose host answers nothing that can be understood', () => {
+    it.each([
+      ['a failed handler', () => Promise.reject(new Error('after the member ran it'))],
+      ['an answer of an unknown kind', async () => ({ kind: 'result.of-a-later-version' })],
+    ])('have an unknown outcome: %s', async (_, handler) => {
+      pair.hostHub.handle('statement.run', handler as never);
+      const result = await pair.remote.run(createStatementRequest());
+      expect(result).toMatchObject({ kind: 'lost', wasSent: true });
+    });
+  });
+
   describe('bad messages between instances', () => {
     it('of an unknown kind are answered as unsupported, and the link stays usable', async () => {
       const unknown = { kind: 'statement.of-a-later-version' } as unknown as PeerBody;
@@ -138,7 +150,7 @@
         throw new Error('unexpected');
       });
       const exchange = await pair.entryHub.exchange(pair.host, { kind: 'peer.ping' }, 1000);
-      expect(exchange).toEqual({ kind: 'answered', body: { kind: 'unsupported' } });
+      expect(exchange).toEqual({ kind: 'answered', body: { kind: 'failed' } });
       expect(pair.problems).toMatchObject([{ kind: 'peer.ping', reason: 'Error: unexpected' }]);
     });
   });
