--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -166,7 +166,9 @@
     kind: z.literal('store.changes'),
     /** Whether the requested changes are no longer available. */
     isLost: z.boolean().optional(),
-    changes: z.object({ events: z.array(storeEvent), revision: z.number() }).optional(),
+    changes: z
+      .object({ events: z.array(storeEvent), revision: z.number(), era: z.number().default(0) })
+      .optional(),
   }),
   /** Requests a check that keys still have these revisions, and the age of that check. */
   z.object({
--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -123,12 +123,13 @@
     const requestedAt = this.clock.now();
     const granted = await this.store.grantLease(LEASE_TTL_MS, STORE_CALL_TIMEOUT_MS);
     if (granted.isErr() || this.view.coordinator !== undefined) return;
-    this.leaseId = granted.value;
+    const { lease } = granted.value;
+    this.leaseId = lease;
     const value = encodeRecord({ instance: this.holderName });
     const written = await this.store.commit(
       {
         expect: [{ key: COORDINATOR_KEY, revision: 0 as StoreRevision }],
-        puts: [{ key: COORDINATOR_KEY, value, lease: granted.value }],
+        puts: [{ key: COORDINATOR_KEY, value, lease }],
         removes: [],
       },
       STORE_CALL_TIMEOUT_MS,
@@ -136,10 +137,14 @@
     if (written.isErr()) {
       // If the store has applied the claim nevertheless, the record is removed with the lease.
       this.leaseId = undefined;
-      await this.store.revokeLease(granted.value, STORE_CALL_TIMEOUT_MS);
+      await this.store.revokeLease(lease, STORE_CALL_TIMEOUT_MS);
       return;
     }
     this.validUntil = toMilliseconds(requestedAt + LEASE_TTL_MS - LEASE_SAFETY_MARGIN_MS);
-    this.log.info('coordinator.claimed', { instance: this.self, fence: written.value });
+    this.log.info('coordinator.claimed', {
+      instance: this.self,
+      fence: written.value.revision,
+      era: written.value.era,
+    });
   }
 }
--- a/packages/gateway/src/failover/primary-records.ts
+++ b/packages/gateway/src/failover/primary-records.ts
@@ -42,10 +42,11 @@
     STORE_CALL_TIMEOUT_MS,
   );
   if (written.isErr()) {
-    log.warn('primary.record.failed', { group, reason: written.error.reason });
+    const { reason, era } = written.error;
+    log.warn('primary.record.failed', { group, reason, era });
     return undefined;
   }
-  const revision = written.value;
+  const { revision } = written.value;
   const stored = { value, revision, createdRevision: known?.createdRevision ?? revision };
   view.applyPrimary(group, stored);
   return stored;
--- a/packages/gateway/src/fleet/fleet-view-updater.ts
+++ b/packages/gateway/src/fleet/fleet-view-updater.ts
@@ -1,7 +1,8 @@
 import { type Clock, type InstanceId, type Milliseconds, toMilliseconds } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
-import type { ControlStore, StoreError, StoreRevision } from '../ports/control-store.js';
+import type { ControlStore, StoreEra, StoreError, StoreRevision } from '../ports/control-store.js';
 import type { EventLog } from '../runtime/event-log.js';
+import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { FleetView } from './fleet-view.js';
 import { encodeRecord, formatInstanceKey, type InstanceRecord } from './records.js';
 import type { RelayServer } from './relay-server.js';
@@ -47,6 +48,9 @@
 
   private isStoreReachable = false;
 
+  /** Era of the newest listing. */
+  private era: StoreEra | undefined;
+
   /** When checks began to find newer revisions than this instance knows. */
   private conflictSince: Milliseconds | undefined;
 
@@ -65,6 +69,7 @@
     private readonly view: FleetView,
     private readonly clock: Clock,
     private readonly random: () => number,
+    private readonly metrics: GatewayMetrics,
     private readonly log: EventLog,
   ) {}
 
@@ -94,11 +99,19 @@
       this.recordStoreState(false, snapshot.error.reason);
       return false;
     }
+    const { items, revision, era } = snapshot.value;
+    this.recordEra(era);
     this.recordStoreState(true);
-    this.view.replace(snapshot.value.items);
+    this.view.replace(items);
+    this.log.info('view.loaded', {
+      era,
+      revision,
+      items: items.length,
+      settings: this.view.settings?.version,
+    });
     this.view.confirmation.confirm(requestedAt);
-    this.watchedUpTo = snapshot.value.revision;
-    this.relayServer.reset(snapshot.value.revision);
+    this.watchedUpTo = revision;
+    this.relayServer.reset(revision, era);
     return true;
   }
 
@@ -122,9 +135,9 @@
       this.recordStoreState(false, written.error.reason);
       return false;
     }
-    this.log.info('instance.registered', { instance: this.self, revision: written.value });
+    const { revision, era } = written.value;
+    this.log.info('instance.registered', { instance: this.self, revision, era });
     // The watch repeats this change, and brings those of others since the snapshot.
-    const revision = written.value;
     const item = { key, value: put.value, revision, createdRevision: revision };
     this.view.apply([{ kind: 'written', item }]);
     return true;
@@ -238,8 +251,16 @@
     if (isReachable === this.isStoreReachable) return;
     this.isStoreReachable = isReachable;
     const ageMs = Math.round(this.view.confirmation.resolveAge(this.clock.now()));
-    if (isReachable) this.log.info('store.regained', { confirmationAgeMs: ageMs });
-    else this.log.warn('store.lost', { confirmationAgeMs: ageMs, reason });
+    const { era } = this;
+    if (isReachable) this.log.info('store.regained', { confirmationAgeMs: ageMs, era });
+    else this.log.warn('store.lost', { confirmationAgeMs: ageMs, era, reason });
+  }
+
+  private recordEra(era: StoreEra): void {
+    if (era === this.era) return;
+    this.log.warn('store.era.changed', { era, previous: this.era });
+    this.era = era;
+    this.metrics.storeEra.set(era);
   }
 
   /** Waits before a retry. */
--- a/packages/gateway/src/fleet/fleet-view.ts
+++ b/packages/gateway/src/fleet/fleet-view.ts
@@ -240,7 +240,12 @@
   }
 
   private putSettings({ value, revision }: StoreItem): void {
-    if (revision <= this.settingsRevision) return;
+    if (revision <= this.settingsRevision) {
+      if (revision < this.settingsRevision) {
+        this.log.warn('settings.skipped', { revision, knownRevision: this.settingsRevision });
+      }
+      return;
+    }
     const decoded = this.directory.decodeSettings(value);
     if (decoded.isErr()) {
       this.log.warn('settings.unreadable', { revision, reason: decoded.error });
--- a/packages/gateway/src/fleet/relay-server.ts
+++ b/packages/gateway/src/fleet/relay-server.ts
@@ -1,6 +1,6 @@
 import { type Clock, type InstanceId, type Milliseconds, toBrand } from '@heatherledge/core';
 import type { PeerBodyOf, PeerHub } from '@heatherledge/daemon';
-import type { StoreChanges, StoreEvent, StoreRevision } from '../ports/control-store.js';
+import type { StoreChanges, StoreEra, StoreEvent, StoreRevision } from '../ports/control-store.js';
 import type { SampleExchange } from '../members/sample-exchange.js';
 import type { FleetView } from './fleet-view.js';
 import { formatInstanceKey, parseRecordKey } from './records.js';
@@ -37,6 +37,8 @@
 
   private revision: StoreRevision | undefined;
 
+  private era = 0 as StoreEra;
+
   private pendingWatches: PendingWatch[] = [];
 
   private lastCheck: LastCheck | undefined;
@@ -61,10 +63,12 @@
    * Restarts at a revision whose contents were loaded as a whole; drops all buffered changes.
    *
    * @param revision - revision of the loaded contents
+   * @param era - era of the loaded contents
    */
-  reset(revision: StoreRevision): void {
+  reset(revision: StoreRevision, era: StoreEra): void {
     this.batches = [];
     this.revision = revision;
+    this.era = era;
     this.resolveWatches();
   }
 
@@ -124,7 +128,7 @@
       .filter(({ revision }) => revision > since)
       .flatMap((batch) => batch.events.map(encodeEvent));
     const revision = Math.max(since, this.revision ?? since);
-    return { kind: 'store.changes', changes: { events, revision } };
+    return { kind: 'store.changes', changes: { events, revision, era: this.era } };
   }
 
   private handleCheck(
--- a/packages/gateway/src/fleet/relayed-source.ts
+++ b/packages/gateway/src/fleet/relayed-source.ts
@@ -5,11 +5,12 @@
   type DomainInstances,
   type InstanceId,
   type Milliseconds,
+  toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
 import type { PeerHub } from '@heatherledge/daemon';
 import { err, ok, type Result } from 'neverthrow';
-import type { StoreChanges, StoreError, StoreRevision } from '../ports/control-store.js';
+import type { StoreChanges, StoreEra, StoreError, StoreRevision } from '../ports/control-store.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { SampleExchange } from '../members/sample-exchange.js';
 import type { FleetView } from './fleet-view.js';
@@ -89,8 +90,11 @@
         reason: 'the relay does not hold all changes since the requested revision',
       });
     }
-    const events = changes.events.map(decodeEvent);
-    return ok({ events, revision: changes.revision as StoreRevision });
+    return ok({
+      events: changes.events.map(decodeEvent),
+      revision: toBrand<StoreRevision>(changes.revision),
+      era: toBrand<StoreEra>(changes.era),
+    });
   }
 
   async check(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,6 +150,7 @@
       this.view,
       clock,
       this.random,
+      this.metrics,
       log,
     );
     this.coordinatorLease = new CoordinatorLease(
--- a/packages/gateway/src/ports/control-store.ts
+++ b/packages/gateway/src/ports/control-store.ts
@@ -1,6 +1,12 @@
 import type { Brand, Milliseconds } from '@heatherledge/core';
 import type { Result } from 'neverthrow';
 
+/**
+ * Counts how often the store has returned from an older copy. What it had acknowledged since that copy
+ * is lost, leases too, and the revisions are given out again: revisions are comparable only within one
+ * era.
+ */
+export type StoreEra = Brand<number, 'StoreEra'>;
 /** Number of a change to the store; 0 stands for a key that does not exist. */
 export type StoreRevision = Brand<number, 'StoreRevision'>;
 /** Identifies a lease. */
@@ -27,6 +33,8 @@
   readonly current?: readonly StoreEvent[];
   readonly kind: StoreErrorKind;
   readonly reason: string;
+  /** Era of the response, if there was one. */
+  readonly era?: StoreEra | undefined;
 }
 
 /** A key with its value, and the revisions of its last change and its creation. */
@@ -47,6 +55,7 @@
   readonly items: readonly StoreItem[];
   /** A watch that starts after this revision misses no change. */
   readonly revision: StoreRevision;
+  readonly era: StoreEra;
 }
 
 /** Changes after a revision. */
@@ -54,6 +63,22 @@
   readonly events: readonly StoreEvent[];
   /** Revision after which the next watch continues. */
   readonly revision: StoreRevision;
+  readonly era: StoreEra;
+}
+
+/** Result of a transaction. */
+export interface StoreCommit {
+  /** The store's revision after the change. */
+  readonly revision: StoreRevision;
+  /** Era in which the transaction took effect. */
+  readonly era: StoreEra;
+}
+
+/** A lease that was granted. */
+export interface LeaseGrant {
+  readonly lease: LeaseId;
+  /** Era that the lease belongs to; in another one the same id may name another lease. */
+  readonly era: StoreEra;
 }
 
 /** Writes and deletions that are applied atomically. */
@@ -78,13 +103,13 @@
     waitMs: Milliseconds,
     signal: AbortSignal,
   ): Promise<Result<StoreChanges, StoreError>>;
-  /** @returns the store's revision after the change */
   commit(
     transaction: StoreTransaction,
     timeoutMs: Milliseconds,
-  ): Promise<Result<StoreRevision, StoreError>>;
-  grantLease(ttlMs: Milliseconds, timeoutMs: Milliseconds): Promise<Result<LeaseId, StoreError>>;
-  renewLease(lease: LeaseId, timeoutMs: Milliseconds): Promise<Result<void, StoreError>>;
+  ): Promise<Result<StoreCommit, StoreError>>;
+  grantLease(ttlMs: Milliseconds, timeoutMs: Milliseconds): Promise<Result<LeaseGrant, StoreError>>;
+  /** @returns the era in which the lease was renewed */
+  renewLease(lease: LeaseId, timeoutMs: Milliseconds): Promise<Result<StoreEra, StoreError>>;
   revokeLease(lease: LeaseId, timeoutMs: Milliseconds): Promise<Result<void, StoreError>>;
   /** Cancels pending calls and closes connections. */
   close(): void;
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -47,6 +47,12 @@
     registers: [this.registry],
   });
 
+  readonly storeEra = new Gauge({
+    name: 'heatherledge_gateway_store_era',
+    help: 'Era of the store whose contents this instance holds; rises when the store returns from an older copy.',
+    registers: [this.registry],
+  });
+
   readonly sessions = new Gauge({
     name: 'heatherledge_gateway_sessions',
     help: 'Callers connected.',
