Check the store without a delay once it has responded to a listing

What callers saw: after the store's return some instances refused keyed requests for half a second longer than others, since their confirmation stayed old.

Cause: a failed direct check holds the next one back for a second, also when a listing has succeeded meanwhile; and a watch that was restarted on purpose paused like a failed one.

Change: a listing that the store has returned ends the delay; a watch that was aborted by a reload starts at once.

Measured: relays.test.ts replays outages of 2.0 to 3.0 s: instances were unconfirmed 500 ms after the store's return for lengths of 2.5 and 2.6 s before, for none now.

--- a/packages/gateway/src/fleet/fleet-view-updater.ts
+++ b/packages/gateway/src/fleet/fleet-view-updater.ts
@@ -115,6 +115,7 @@
     const { era: previous } = this.view;
     if (!this.view.replace(snapshot.value, this.clock.now())) return false;
     if (era !== previous) this.recordEra(era, previous);
+    this.source.recordStoreResponse();
     this.recordStoreState(true);
     this.log.info('view.loaded', {
       era,
@@ -168,12 +169,14 @@
         continue;
       }
       const { era } = this.view;
-      const changes = await this.source.watch(after, this.watchAbort.signal);
+      const { signal } = this.watchAbort;
+      const changes = await this.source.watch(after, signal);
       if (changes.isOk()) {
         if (!(await this.applyChanges(after, era, changes.value))) await this.pause();
         continue;
       }
       if (this.isStopped) return;
+      if (signal.aborted) continue;
       this.log.warn('watch.ended', { kind: changes.error.kind, reason: changes.error.reason });
       if (changes.error.kind === 'history-lost') this.watchedUpTo = undefined;
       else await this.pause();
--- a/packages/gateway/src/fleet/relayed-source.ts
+++ b/packages/gateway/src/fleet/relayed-source.ts
@@ -65,6 +65,11 @@
     return chooseRelay(this.self, this.getOwnDomain()) === undefined;
   }
 
+  /** Checks the store itself again without a delay, since it has just responded to this instance. */
+  recordStoreResponse(): void {
+    this.lastDirectFailureAt = undefined;
+  }
+
   async watch(
     after: StoreRevision,
     signal: AbortSignal,
--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -168,6 +168,22 @@
       }
     });
 
+    it.each([2000, 2100, 2200, 2300, 2400, 2500, 2600, 2700, 2800, 2900, 3000])(
+      'confirm their failure domain half a second after an outage of %d ms',
+      async (outageMs) => {
+        await startFleet(12, 3);
+        for (const { client } of fleet.instances) client.isDisconnected = true;
+        await fleet.advance(outageMs);
+        for (const { client } of fleet.instances) client.isDisconnected = false;
+        const relays = fleet.instances.filter((instance) => findRelay(instance) === instance);
+        for (const { updater } of relays) await fleet.run(updater.loadSnapshot());
+        await fleet.advance(500);
+        for (const instance of fleet.instances) {
+          expect(instance.resolveAge(fleet.clock.now())).toBeLessThan(800);
+        }
+      },
+    );
+
     it('never present an old confirmation as a new one during an outage of the store', async () => {
       await startFleet(12, 3);
       for (const { client } of fleet.instances) client.isDisconnected = true;
