--- a/scripts/src/fleet-smoke.ts
+++ b/scripts/src/fleet-smoke.ts
@@ -11,6 +11,10 @@
 const SESSION_COUNT = 12;
 const WRITE_DELAY_MS = 15;
 const PHASE_DURATION_MS = 4000;
+/** Longer than the promised 5 s, to tell a late withdrawal from one that is not in force at all. */
+const MAX_WITHDRAWAL_WAIT_MS = 8000;
+/** The promise: a withdrawn key stops within this time. */
+const MAX_WITHDRAWAL_MS = 5000;
 const GROUP = 'subscriptions-1';
 
 const fleet = new LocalFleet(join('results', 'fleet-smoke'));
@@ -36,7 +40,12 @@
   );
 }
 
-/** @returns milliseconds from the withdrawal of a key until a connected caller is refused */
+/**
+ * Withdraws a key through one instance while a caller is connected with it to another one.
+ *
+ * @returns milliseconds from the start of the withdrawal until the caller is refused
+ * @throws Error if the change is not accepted, or the key still works after `MAX_WITHDRAWAL_WAIT_MS`
+ */
 async function measureKeyWithdrawal(): Promise<number> {
   const [adminInstance, , , callerInstance] = fleet.instances as [
     InstanceProcess,
@@ -47,19 +56,39 @@
   const caller = await Caller.connect(createTarget(callerInstance, 'example-key-w'));
   await caller.run('SELECT 1');
   const started = performance.now();
-  await callAdmin(adminInstance, '/v1/settings', {
+  const change = await callAdmin(adminInstance, '/v1/settings', {
     changes: [{ path: 'teams/subscriptions/keys/key-w' }],
   });
-  while (performance.now() - started < PHASE_DURATION_MS * 2) {
+  const { outcome } = change as { outcome?: string };
+  if (outcome !== 'accepted') {
+    throw new Error(`the withdrawal was not accepted: ${JSON.stringify(change)}`);
+  }
+  let isRefused = false;
+  while (!isRefused && performance.now() - started < MAX_WITHDRAWAL_WAIT_MS) {
     const result = await caller.run('SELECT 1');
-    if (result.outcome !== 'done') break;
-    await sleep(5);
+    isRefused = result.outcome !== 'done';
+    if (!isRefused) await sleep(5);
   }
+  const withdrawalMs = performance.now() - started;
   await caller.end();
-  return performance.now() - started;
+  if (isRefused) return withdrawalMs;
+  const states = await Promise.all(
+    fleet.instances.map(async (instance) => describeSettings(instance)),
+  );
+  throw new Error(`the withdrawn key still works; settings: ${JSON.stringify(states)}`);
 }
 
-async function run(): Promise<object> {
+/** @returns revision and age of an instance's settings, or why they are not known */
+async function describeSettings(instance: InstanceProcess): Promise<unknown> {
+  try {
+    const state = (await callAdmin(instance, '/v1/state')) as { settings?: unknown };
+    return { number: instance.number, settings: state.settings };
+  } catch (error) {
+    return { number: instance.number, error: String(error) };
+  }
+}
+
+async function run(): Promise<{ readonly withdrawalMs: number } & Record<string, unknown>> {
   await fleet.start();
   await sleep(2000);
   const workload = new RoamingWorkload(chooseTarget);
@@ -100,7 +129,14 @@
 try {
   const report = await run();
   process.stdout.write(`${JSON.stringify(report)}\n`);
+  if (report.withdrawalMs > MAX_WITHDRAWAL_MS) {
+    process.stderr.write(`the key worked for longer than ${MAX_WITHDRAWAL_MS} ms\n`);
+    process.exitCode = 1;
+  }
+} catch (error) {
+  process.stderr.write(`${String(error)}\n`);
+  process.exitCode = 1;
 } finally {
   await fleet.killAll();
 }
-process.exit(0);
+process.exit();
