Send a change of settings to another writer if the first has no process or loses its answer

What callers saw: now and then the withdrawal of a key through an instance of the daemon was answered unknown while nothing but one instance was down, and the key went on working: the change had not been made at all.

Cause: the change goes to the writer that its id selects. If that one was killed and is still listed, the request never left, but was taken for one of unknown outcome, and the other writers were not asked.

Change: a request that certainly was not sent is no attempt; after an unknown one the next writer, which looks up the change id before it writes, decides. Without an acceptance the outcome stays unknown. All of it within the time that one writer had before.

--- a/packages/daemon/src/settings/settings-task.ts
+++ b/packages/daemon/src/settings/settings-task.ts
@@ -170,26 +170,50 @@
     const { writers } = this;
     if (writers.size === 0 || writers.has(this.self.id)) return this.write(request);
     const candidates = chooseHolders(request.changeId, writers, writers.size);
-    let outcome: ChangeOutcome = { kind: 'unavailable' };
-    for (const writer of candidates) {
-      outcome = await this.requestWrite(writer, request);
-      if (outcome.kind !== 'unavailable') break;
-    }
+    const outcome = await this.requestWrites(request, candidates);
     if (outcome.kind === 'accepted') await this.pullOnce();
     return outcome;
   }
 
+  /**
+   * Requests a change from one writer after the other until its outcome is known. A writer looks up the
+   * change id first, so a change that another one has made is not made again.
+   */
+  private async requestWrites(
+    request: ChangeRequest,
+    writers: readonly InstanceId[],
+  ): Promise<ChangeOutcome> {
+    const deadline = this.clock.now() + WRITE_TIMEOUT_MS;
+    let unknown: ChangeOutcome | undefined;
+    for (const writer of writers) {
+      const timeoutMs = deadline - this.clock.now();
+      if (timeoutMs <= 0) break;
+      const outcome = await this.requestWrite(writer, request, timeoutMs);
+      if (outcome.kind === 'accepted') return outcome;
+      // A change that was sent may still be made, whatever the next writer finds now.
+      if (outcome.kind === 'unknown') unknown ??= outcome;
+      else if (outcome.kind !== 'unavailable') return unknown ?? outcome;
+    }
+    return unknown ?? { kind: 'unavailable' };
+  }
+
   private async write(request: ChangeRequest): Promise<ChangeOutcome> {
     const outcome = await this.writer.write(request);
     if (outcome.kind === 'accepted') await this.loadIfNewer();
     return outcome;
   }
 
-  private async requestWrite(writer: InstanceId, request: ChangeRequest): Promise<ChangeOutcome> {
+  private async requestWrite(
+    writer: InstanceId,
+    request: ChangeRequest,
+    timeoutMs: number,
+  ): Promise<ChangeOutcome> {
     const { changeId, author, expectedRevision } = request;
     const changes = [...request.changes];
     const body = { kind: 'settings.write' as const, changes, changeId, author, expectedRevision };
-    const response = await this.hub.request(writer, body, WRITE_TIMEOUT_MS);
+    const exchange = await this.hub.exchange(writer, body, timeoutMs);
+    if (exchange.kind === 'lost' && !exchange.wasSent) return { kind: 'unavailable' };
+    const response = exchange.kind === 'answered' ? exchange.body : undefined;
     if (response?.kind !== 'settings.written') {
       return { kind: 'unknown', base: this.current.revision };
     }
