Ignore entries of members that are older than the known ones of the same incarnation

What callers saw: after the store's return a draining member was listed as ready until its next entry, so that new statements went to it and a change of its primary was put off.

Cause: the copy holds earlier entries of members, and the view took whatever the store listed last.

Change: the platform's sequence number of an entry is decoded; within one incarnation an entry with a lower one does not replace a known entry.

--- a/packages/core/src/serving/fleet-settings.ts
+++ b/packages/core/src/serving/fleet-settings.ts
@@ -67,4 +67,6 @@
   readonly isDraining: boolean;
   /** Identifies one run of the member; a restarted member has lost everything it held before. */
   readonly incarnation: number;
+  /** Increases with each entry of an incarnation; absent if the entry does not name it. */
+  readonly sequence?: number | undefined;
 }
--- a/packages/gateway/src/fleet/fleet-contents.ts
+++ b/packages/gateway/src/fleet/fleet-contents.ts
@@ -194,6 +194,10 @@
     }
     const entry = decoded.value;
     const known = this.members.entries.get(entry.id);
+    if (known !== undefined && isOlderEntry(entry, known)) {
+      this.members.put(entry.id, known);
+      return;
+    }
     this.members.put(entry.id, entry);
     if (known?.isDraining === entry.isDraining && known?.role === entry.role) return;
     const { id: member, group, role, isDraining, incarnation } = entry;
@@ -212,3 +216,9 @@
     this.log.info('member.unlisted', { member });
   }
 }
+
+/** A store that has returned from an older copy holds earlier entries of members for a while. */
+function isOlderEntry(entry: MemberEntry, known: MemberEntry): boolean {
+  const { sequence = 0, incarnation } = entry;
+  return incarnation === known.incarnation && sequence < (known.sequence ?? 0);
+}
--- a/packages/gateway/test/units/fleet.test.ts
+++ b/packages/gateway/test/units/fleet.test.ts
@@ -34,7 +34,7 @@
 const ERA = toBrand<StoreEra>(1);
 const NOW = toMilliseconds(0);
 
-function createEntry(isDraining: boolean): MemberEntry {
+function createEntry(isDraining: boolean, sequence: number): MemberEntry {
   return {
     id: MEMBER,
     group: toBrand<GroupId>('g'),
@@ -45,6 +45,7 @@
     slots: 2,
     isDraining,
     incarnation: 1,
+    sequence,
   };
 }
 
@@ -52,7 +53,11 @@
   settingsKey: 'settings',
   membersPrefix: 'members/',
   decodeSettings: () => ok(JSON.parse('{}')),
-  decodeMember: (_, value) => ok(createEntry(value.toString() === 'draining')),
+  // A member's entry is its state and sequence number.
+  decodeMember: (_, value) => {
+    const [state, sequence = 0] = value.toString().split(' ');
+    return ok(createEntry(state === 'draining', Number(sequence)));
+  },
 };
 
 function createView(): FleetView {
@@ -116,6 +121,30 @@
     });
   });
 
+  describe('after the store has returned from an older copy', () => {
+    const nextEra = toBrand<StoreEra>(2);
+
+    it('ignores changes and listings of the era before', () => {
+      const view = createView();
+      view.replace({ items: [createItem('members/m1', 'ready')], era: nextEra }, NOW);
+      view.apply([{ kind: 'deleted', key: 'members/m1' }], ERA);
+      expect(view.replace({ items: [], era: ERA }, NOW)).toBe(false);
+      expect(view.members.has(MEMBER)).toBe(true);
+    });
+
+    it('keeps a member draining whose copied entry is older', () => {
+      const view = createView();
+      view.replace({ items: [createItem('members/m1', 'ready 4')], era: ERA }, NOW);
+      const drained = createItem('members/m1', 'draining 5', 2);
+      view.apply([{ kind: 'written', item: drained }], ERA);
+      view.replace({ items: [createItem('members/m1', 'ready 4')], era: nextEra }, NOW);
+      expect(view.members.get(MEMBER)?.isDraining).toBe(true);
+      const next = createItem('members/m1', 'ready 6', 2);
+      view.apply([{ kind: 'written', item: next }], nextEra);
+      expect(view.members.get(MEMBER)?.isDraining).toBe(false);
+    });
+  });
+
   describe('primaries', () => {
     const group = toBrand<GroupId>('g');
     const key = formatPrimaryKey(group);
