Load a store that has returned through a relay where an instance cannot reach it

What callers saw: an instance that was cut off from the store when it returned from an older copy refused every keyed request until the cut had healed, although its relay was up to date.

Cause: the contents of another era have to be listed, and only the store itself gave listings; a relay passes on changes within one era.

Change: a relay keeps the items of the store and lists them for a subscriber to which the store does not respond. Such a listing confirms nothing, and is taken only if it holds more than the instance does. The updater's record, state and intervals move to files of their own.

--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -187,6 +187,15 @@
       })
       .optional(),
   }),
+  /** Requests all contents of the store that a relay holds. */
+  z.object({ kind: z.literal('store.list') }),
+  z.object({
+    kind: z.literal('store.listed'),
+    /** Contents of the store; absent if the relay has not loaded them. */
+    listing: z
+      .object({ events: z.array(storeEvent), revision: z.number(), era: z.number() })
+      .optional(),
+  }),
   /** Requests a check that keys still have these revisions, and the age of that check. */
   z.object({
     kind: z.literal('store.check'),
--- a/packages/gateway/src/fleet/fleet-view-updater.ts
+++ b/packages/gateway/src/fleet/fleet-view-updater.ts
@@ -1,41 +1,20 @@
 import { type Clock, type InstanceId, type Milliseconds, toMilliseconds } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
-import type {
-  ControlStore,
-  StoreChanges,
-  StoreEra,
-  StoreError,
-  StoreRevision,
-} from '../ports/control-store.js';
+import type { StoreChanges, StoreEra, StoreError, StoreRevision } from '../ports/control-store.js';
 import type { EventLog } from '../runtime/event-log.js';
-import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
+import { resolveCheckInterval, RETRY_DELAY_MS } from './check-interval.js';
 import type { FleetView } from './fleet-view.js';
-import { encodeRecord, formatInstanceKey, type InstanceRecord } from './records.js';
+import type { InstanceRegistration } from './instance-registration.js';
 import type { RelayServer } from './relay-server.js';
 import type { RelayedSource } from './relayed-source.js';
-import { STORE_TIMEOUT_MS } from './store-source.js';
+import type { StoreState } from './store-state.js';
 import type { CheckResult, Expectation } from './view-source.js';
 
-/**
- * Interval of checks of the store itself. Two in a row may fail before primaries are no longer
- * trusted.
- */
-const DIRECT_CHECK_INTERVAL_MS = 1000;
-/**
- * Interval of checks at a relay; shorter, because the relay's own check of the store may already be a
- * second old.
- */
-const RELAYED_CHECK_INTERVAL_MS = 400;
 /**
  * Delay of the first watch of an instance that was not listed before: other instances of a fleet that
  * starts list themselves meanwhile, and the first watch brings them together.
  */
 const FIRST_WATCH_DELAY_MS = 200;
-/**
- * Interval of checks while a relay knows newer revisions, which the watch is about to bring, and while
- * the records of the store are incomplete.
- */
-const SHORT_CHECK_INTERVAL_MS = 120;
 /**
  * Time in which the watch must bring a change that a check has found; the relay's own watch is paced
  * by 400 ms, and a confirmation is recent enough to serve for 2.6 s.
@@ -43,7 +22,6 @@
 const CONFLICT_GRACE_MS = 1200;
 /** Interval of listings of the store while its records are incomplete. */
 const INCOMPLETE_RELOAD_INTERVAL_MS = 1000;
-const RETRY_DELAY_MS = 250;
 /** Maximum random addition to a retry delay, so that instances do not call the store at once. */
 const MAX_RETRY_JITTER_MS = 250;
 
@@ -54,9 +32,11 @@
 export class FleetViewUpdater {
   private isStopped = false;
 
+  /** Revision after which the next watch starts; undefined if the store must be loaded first. */
   private watchedUpTo: StoreRevision | undefined;
 
-  private isStoreReachable = false;
+  /** Revision of the newest contents that this instance has applied. */
+  private seenUpTo = 0 as StoreRevision;
 
   /** When the store was last loaded, or that was last tried. */
   private loadedAt = toMilliseconds(0);
@@ -72,22 +52,23 @@
 
   constructor(
     private readonly self: InstanceId,
-    private readonly record: InstanceRecord,
-    private readonly store: ControlStore,
+    private readonly registration: InstanceRegistration,
     private readonly source: RelayedSource,
     private readonly relayServer: RelayServer,
     private readonly view: FleetView,
     private readonly clock: Clock,
     private readonly random: () => number,
-    private readonly metrics: GatewayMetrics,
+    private readonly state: StoreState,
     private readonly log: EventLog,
   ) {}
 
   /** Loads the store and registers this instance, with retries, then starts watches and checks. */
   async start(): Promise<void> {
     while (!this.isStopped && !(await this.loadSnapshot())) await this.pause();
-    this.wasAlreadyListed = this.isRegistered;
-    while (!this.isStopped && !this.isRegistered && !(await this.register())) await this.pause();
+    this.wasAlreadyListed = this.registration.isRegistered;
+    while (!this.isStopped && !this.registration.isRegistered && !(await this.register())) {
+      await this.pause();
+    }
     void this.runWatch(this.wasAlreadyListed ? 0 : FIRST_WATCH_DELAY_MS);
     void this.runChecks();
   }
@@ -97,6 +78,11 @@
     this.isStopped = true;
   }
 
+  /** Whether this instance reads the store itself and serves as a relay for others. */
+  get isRelay(): boolean {
+    return this.source.isRelay;
+  }
+
   /**
    * Replaces the view with the current contents of the store. They confirm the view only if they hold
    * everything that the fleet knew before the store last returned from an older copy.
@@ -106,56 +92,39 @@
   async loadSnapshot(): Promise<boolean> {
     const requestedAt = this.clock.now();
     this.loadedAt = requestedAt;
-    const snapshot = await this.store.readAll('', STORE_TIMEOUT_MS);
+    const snapshot = await this.source.readAll();
     if (snapshot.isErr()) {
-      this.recordStoreState(false, snapshot.error.reason);
+      this.state.record(false, snapshot.error.reason);
       return false;
     }
-    const { items, revision, era } = snapshot.value;
+    const { revision, era, isRelayed } = snapshot.value;
     const { era: previous } = this.view;
+    // A relay may hold less than this instance.
+    if (isRelayed && era === previous && revision <= this.seenUpTo) return false;
     if (!this.view.replace(snapshot.value, this.clock.now())) return false;
-    if (era !== previous) this.recordEra(era, previous);
-    this.source.recordStoreResponse();
-    this.recordStoreState(true);
-    this.log.info('view.loaded', {
-      era,
-      revision,
-      items: items.length,
-      settings: this.view.settings?.version,
-      isComplete: this.view.isComplete,
-    });
-    if (this.view.isComplete) this.view.confirmation.confirm(requestedAt);
+    if (era !== previous) this.state.recordEra(era, previous);
+    this.state.record(true);
+    const { settings, isComplete } = this.view;
+    const fields = { era, revision, settings: settings?.version, isComplete, isRelayed };
+    this.log.info('view.loaded', fields);
+    if (isComplete && !isRelayed) this.view.confirmation.confirm(requestedAt);
     this.watchedUpTo = revision;
-    this.relayServer.reset(revision, era);
+    this.seenUpTo = revision;
+    this.relayServer.reset(snapshot.value);
     return true;
   }
 
-  private get isRegistered(): boolean {
-    const known = this.view.instances.get(this.self)?.value;
-    const { host, peerPort, domain } = this.record;
-    const isSame = known?.host === host && known.peerPort === peerPort && known.domain === domain;
-    return isSame && this.view.isRegistered(this.self);
-  }
-
-  /**
-   * Writes this instance's record and replaces that of an earlier incarnation at another address.
-   */
+  /** Writes this instance's record; loads the store first if that shows that it has returned. */
   private async register(): Promise<boolean> {
-    const key = formatInstanceKey(this.self);
-    const put = { key, value: encodeRecord(this.record), lease: undefined };
-    const written = await this.store.commit(
-      { expect: [], puts: [put], removes: [] },
-      STORE_TIMEOUT_MS,
-    );
+    const written = await this.registration.register();
     if (written.isErr()) {
-      this.recordStoreState(false, written.error.reason);
+      this.state.record(false, written.error.reason);
       return false;
     }
-    const { revision, era } = written.value;
-    if (await this.followEra(era)) return this.isRegistered;
+    const { revision, item, era } = written.value;
+    if (await this.followEra(era)) return this.registration.isRegistered;
     this.log.info('instance.registered', { instance: this.self, revision, era });
     // The watch repeats this change, and brings those of others since the snapshot.
-    const item = { key, value: put.value, revision, createdRevision: revision };
     this.view.apply([{ kind: 'written', item }], era);
     return true;
   }
@@ -184,12 +153,9 @@
   }
 
   /**
-   * Applies changes that a watch has returned.
+   * Applies changes that a watch from revision `after` of an era has returned.
    *
-   * @param after - revision that the watch started from
-   * @param era - era of that revision
-   * @param changes - the changes
-   * @returns whether they belong to the era that the watch started in, or a later one was loaded
+   * @returns whether they belong to that era, or a later one was loaded
    */
   private async applyChanges(
     after: StoreRevision,
@@ -200,6 +166,7 @@
     if (era !== this.view.era || this.watchedUpTo !== after) return true;
     if (changes.era !== era) return this.followEra(changes.era);
     this.watchedUpTo = changes.revision;
+    this.seenUpTo = changes.revision;
     if (changes.events.length > 0) this.view.apply(changes.events, changes.era);
     this.relayServer.publish(after, changes);
     return true;
@@ -207,7 +174,13 @@
 
   private async runChecks(): Promise<void> {
     while (!this.isStopped) {
-      await delay(this.computeCheckInterval());
+      await delay(
+        resolveCheckInterval({
+          isReachable: this.state.isReachable,
+          isSettled: this.conflictSince === undefined && this.view.isComplete,
+          isRelay: this.isRelay,
+        }),
+      );
       if (this.isStopped) return;
       await this.runCheck();
     }
@@ -236,8 +209,8 @@
     }
     if (await this.followEra(checked.isOk() ? checked.value.era : checked.error.era)) return;
     if (checked.isErr()) {
-      if (checked.error.kind !== 'conflict') this.recordStoreState(false, checked.error.reason);
-      else await (this.isStoreReachable ? this.handleConflict() : this.resume());
+      if (checked.error.kind !== 'conflict') this.state.record(false, checked.error.reason);
+      else await (this.state.isReachable ? this.handleConflict() : this.resume());
       return;
     }
     this.conflictSince = undefined;
@@ -263,7 +236,7 @@
       if (!isRelayed) this.relayServer.recordCheck(asOf, era, expectations);
       this.view.confirmation.confirm(asOf);
     }
-    if (!this.isStoreReachable) await this.resume(isRelayed);
+    if (!this.state.isReachable) await this.resume(isRelayed);
     else this.view.removeMissing(this.clock.now());
   }
 
@@ -280,16 +253,9 @@
     return true;
   }
 
-  private computeCheckInterval(): number {
-    if (!this.isStoreReachable) return RETRY_DELAY_MS;
-    if (this.conflictSince !== undefined || !this.view.isComplete) return SHORT_CHECK_INTERVAL_MS;
-    return this.source.isRelay ? DIRECT_CHECK_INTERVAL_MS : RELAYED_CHECK_INTERVAL_MS;
-  }
-
   /**
    * Applies what a store tells of the expected keys in a conflict, ahead of the watch.
    *
-   * @param error - result of the check
    * @returns whether the store told it, so that another check may succeed
    */
   private applyConflict({ current, era }: StoreError): boolean {
@@ -319,26 +285,12 @@
    */
   private async resume(isRelayed = false): Promise<void> {
     this.view.retainMembers(this.clock.now());
-    if (isRelayed) this.recordStoreState(true);
+    if (isRelayed) this.state.record(true);
     else if (!(await this.loadSnapshot())) return;
     this.watchAbort.abort();
     this.watchAbort = new AbortController();
   }
 
-  private recordStoreState(isReachable: boolean, reason?: string): void {
-    if (isReachable === this.isStoreReachable) return;
-    this.isStoreReachable = isReachable;
-    const ageMs = Math.round(this.view.confirmation.resolveAge(this.clock.now()));
-    const { era } = this.view;
-    if (isReachable) this.log.info('store.regained', { confirmationAgeMs: ageMs, era });
-    else this.log.warn('store.lost', { confirmationAgeMs: ageMs, era, reason });
-  }
-
-  private recordEra(era: StoreEra, previous: StoreEra | undefined): void {
-    this.metrics.storeEra.set(era);
-    if (previous !== undefined) this.log.warn('store.era.changed', { era, previous });
-  }
-
   /** Waits before a retry. */
   private async pause(): Promise<void> {
     await delay(RETRY_DELAY_MS + this.random() * MAX_RETRY_JITTER_MS);
--- a/packages/gateway/src/fleet/relay-server.ts
+++ b/packages/gateway/src/fleet/relay-server.ts
@@ -1,6 +1,13 @@
 import { type Clock, type InstanceId, type Milliseconds, toBrand } from '@heatherledge/core';
 import type { PeerBodyOf, PeerHub } from '@heatherledge/daemon';
-import type { StoreChanges, StoreEra, StoreEvent, StoreRevision } from '../ports/control-store.js';
+import type {
+  StoreChanges,
+  StoreEra,
+  StoreEvent,
+  StoreItem,
+  StoreRevision,
+  StoreSnapshot,
+} from '../ports/control-store.js';
 import type { SampleExchange } from '../members/sample-exchange.js';
 import type { FleetView } from './fleet-view.js';
 import { formatInstanceKey, parseRecordKey } from './records.js';
@@ -42,6 +49,9 @@
 export class RelayServer {
   private batches: Batch[] = [];
 
+  /** Contents of the store, for subscribers that cannot load it themselves. */
+  private items = new Map<string, StoreItem>();
+
   private revision: StoreRevision | undefined;
 
   private era = 0 as StoreEra;
@@ -60,6 +70,7 @@
     private readonly samples: SampleExchange,
   ) {
     hub.handle('store.watch', async (body) => this.handleWatch(body));
+    hub.handle('store.list', () => this.handleList());
     hub.handle('store.check', (body, from) => ({
       ...this.handleCheck(body, from),
       ...this.samples.handleRequest(body),
@@ -69,11 +80,11 @@
   /**
    * Restarts at a revision whose contents were loaded as a whole; drops all buffered changes.
    *
-   * @param revision - revision of the loaded contents
-   * @param era - era of the loaded contents
+   * @param snapshot - the loaded contents
    */
-  reset(revision: StoreRevision, era: StoreEra): void {
+  reset({ items, revision, era }: StoreSnapshot): void {
     this.batches = [];
+    this.items = new Map(items.map((item) => [item.key, item]));
     this.revision = revision;
     this.era = era;
     this.resolveWatches();
@@ -88,6 +99,10 @@
   publish(after: StoreRevision, changes: StoreChanges): void {
     this.revision = changes.revision;
     if (changes.events.length === 0) return;
+    for (const event of changes.events) {
+      if (event.kind === 'written') this.items.set(event.item.key, event.item);
+      else this.items.delete(event.key);
+    }
     this.batches.push({ ...changes, after });
     this.batches.splice(0, this.batches.length - MAX_BUFFERED_BATCHES);
     this.resolveWatches();
@@ -146,6 +161,13 @@
     return { kind: 'store.changes', changes: { events, revision, era: this.era } };
   }
 
+  private handleList(): PeerBodyOf<'store.listed'> {
+    const { items, revision, era } = this;
+    if (revision === undefined) return { kind: 'store.listed' };
+    const events = [...items.values()].map((item) => encodeEvent({ kind: 'written', item }));
+    return { kind: 'store.listed', listing: { events, revision, era } };
+  }
+
   private handleCheck(
     { era: subscriberEra, expectations }: PeerBodyOf<'store.check'>,
     from: InstanceId,
--- a/packages/gateway/src/fleet/relayed-source.ts
+++ b/packages/gateway/src/fleet/relayed-source.ts
@@ -15,12 +15,14 @@
 import type { SampleExchange } from '../members/sample-exchange.js';
 import type { FleetView } from './fleet-view.js';
 import { decodeEvent } from './relay-server.js';
-import type { CheckResult, Expectation, ViewSource } from './view-source.js';
+import type { CheckResult, Expectation, Listing, ViewSource } from './view-source.js';
 
 /** Short, to detect a frozen relay soon; a watch at a relay costs no call of the store. */
 const MAX_RELAY_WATCH_WAIT_MS = 2500;
 /** A round trip between regions takes 24 ms. */
 const RELAY_REQUEST_TIMEOUT_MS = 250;
+/** A listing of a large fleet, about 100 KB, over a slow link. */
+const LISTING_TIMEOUT_MS = 1000;
 /** Delay before a relay that did not respond is used again. */
 const RELAY_RETRY_DELAY_MS = 3000;
 /**
@@ -65,9 +67,32 @@
     return chooseRelay(this.self, this.getOwnDomain()) === undefined;
   }
 
-  /** Checks the store itself again without a delay, since it has just responded to this instance. */
-  recordStoreResponse(): void {
-    this.lastDirectFailureAt = undefined;
+  /**
+   * Reads the store itself, or the contents that a relay holds if the store does not respond to this
+   * instance.
+   */
+  async readAll(): Promise<Result<Listing, StoreError>> {
+    const direct = await this.storeSource.readAll();
+    if (direct.isOk()) {
+      // The store responds to this instance, so the next check need not be delayed.
+      this.lastDirectFailureAt = undefined;
+      return direct;
+    }
+    this.lastDirectFailureAt = this.clock.now();
+    const relay = this.findRelay() ?? this.findBackupRelay();
+    if (relay === undefined) return direct;
+    const response = await this.hub.request(relay, { kind: 'store.list' }, LISTING_TIMEOUT_MS);
+    if (response?.kind !== 'store.listed' || response.listing === undefined) return direct;
+    const { events, revision, era } = response.listing;
+    const items = events.map(decodeEvent).flatMap((event) => {
+      return event.kind === 'written' ? [event.item] : [];
+    });
+    return ok({
+      items,
+      revision: toBrand<StoreRevision>(revision),
+      era: toBrand<StoreEra>(era),
+      isRelayed: true,
+    });
   }
 
   async watch(
--- a/packages/gateway/src/fleet/store-source.ts
+++ b/packages/gateway/src/fleet/store-source.ts
@@ -8,7 +8,7 @@
   StoreError,
   StoreRevision,
 } from '../ports/control-store.js';
-import type { CheckResult, Expectation, ViewSource } from './view-source.js';
+import type { CheckResult, Expectation, Listing, ViewSource } from './view-source.js';
 
 /**
  * Each watch costs one call, so waits are long. The wait also bounds the time until a silent
@@ -33,6 +33,11 @@
     private readonly clock: Clock,
   ) {}
 
+  async readAll(): Promise<Result<Listing, StoreError>> {
+    const snapshot = await this.store.readAll('', STORE_TIMEOUT_MS);
+    return snapshot.map((contents) => ({ ...contents, isRelayed: false }));
+  }
+
   async watch(
     after: StoreRevision,
     signal: AbortSignal,
--- a/packages/gateway/src/fleet/view-source.ts
+++ b/packages/gateway/src/fleet/view-source.ts
@@ -1,6 +1,12 @@
 import type { Milliseconds } from '@heatherledge/core';
 import type { Result } from 'neverthrow';
-import type { StoreChanges, StoreEra, StoreError, StoreRevision } from '../ports/control-store.js';
+import type {
+  StoreChanges,
+  StoreEra,
+  StoreError,
+  StoreRevision,
+  StoreSnapshot,
+} from '../ports/control-store.js';
 
 /** A key, and the newest revision of it that this instance holds. */
 export interface Expectation {
@@ -18,8 +24,16 @@
   readonly era: StoreEra;
 }
 
+/** Contents of the store, and where they come from. */
+export interface Listing extends StoreSnapshot {
+  /** Whether a relay sent them; they confirm nothing, since the relay may have loaded them long ago. */
+  readonly isRelayed: boolean;
+}
+
 /** Delivers changes of the store and confirms that none was missed; no call throws. */
 export interface ViewSource {
+  /** Reads all contents of the store. */
+  readAll(): Promise<Result<Listing, StoreError>>;
   /** Waits for changes after a revision, for a few seconds at most or until `signal` aborts. */
   watch(after: StoreRevision, signal: AbortSignal): Promise<Result<StoreChanges, StoreError>>;
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,10 +8,12 @@
 import { FailoverTasks } from './failover/failover-tasks.js';
 import { FleetViewUpdater } from './fleet/fleet-view-updater.js';
 import { FleetView } from './fleet/fleet-view.js';
+import { InstanceRegistration } from './fleet/instance-registration.js';
 import { RelayServer } from './fleet/relay-server.js';
 import { RelayedSource } from './fleet/relayed-source.js';
 import { RateShareAllocator } from './fleet/rate-share-allocator.js';
 import { StoreSource } from './fleet/store-source.js';
+import { StoreState } from './fleet/store-state.js';
 import { MemberRegistry } from './members/member-registry.js';
 import { HostDirectory } from './hosting/host-directory.js';
 import { HostingTasks } from './hosting/hosting-tasks.js';
@@ -134,14 +136,13 @@
     );
     this.viewUpdater = new FleetViewUpdater(
       instance,
-      instanceRecord,
-      store,
+      new InstanceRegistration(instance, instanceRecord, store, this.view),
       viewSource,
       relayServer,
       this.view,
       clock,
       this.random,
-      this.metrics,
+      new StoreState(this.view, clock, this.metrics, log),
       log,
     );
     this.failover = new FailoverTasks({
--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -254,6 +254,24 @@
       expect(cut.resolveAge(fleet.clock.now())).toBeLessThan(1800);
     });
 
+    it('reaches an instance through its relay that is cut off from the store alone', async () => {
+      await startFleet(12, 3);
+      const relays = fleet.instances.filter(({ updater }) => updater.isRelay);
+      const cut = fleet.instances.find((instance) => !relays.includes(instance)) as MemoryInstance;
+      cut.client.isDisconnected = true;
+      await loseChanges(async () => {
+        putSettings(2);
+        await fleet.advance(500);
+      });
+      await fleet.advance(RECOVERY_MS);
+      expect(cut.view.era).toBe(2);
+      expect(cut.view.settings?.version).toBe(2);
+      expect(cut.resolveAge(fleet.clock.now())).toBeLessThan(1800);
+      putSettings(3);
+      await fleet.advance(500);
+      expect(cut.view.settings?.version).toBe(3);
+    });
+
     it('confirms no instance before the records of the store are complete', async () => {
       await startFleet(12, 3);
       await loseChanges(async () => {
