--- a/packages/gateway/test/units/fleet.test.ts
+++ b/packages/gateway/test/units/fleet.test.ts
@@ -52,7 +52,7 @@
 const DIRECTORY: FleetDirectory = {
   settingsKey: 'settings',
   membersPrefix: 'members/',
-  decodeSettings: () => ok(JSON.parse('{}')),
+  decodeSettings: (value) => ok({ ...JSON.parse(value.toString()), routesByDatabase: new Map() }),
   // A member's entry is its state and sequence number.
   decodeMember: (_, value) => {
     const [state, sequence = 0] = value.toString().split(' ');
@@ -127,8 +127,10 @@
     it('ignores changes and listings of the era before', () => {
       const view = createView();
       view.replace({ items: [createItem('members/m1', 'ready')], era: nextEra }, NOW);
-      view.apply([{ kind: 'deleted', key: 'members/m1' }], ERA);
-      expect(view.replace({ items: [], era: ERA }, NOW)).toBe(false);
+      const settings = createItem('settings', '{"version":9}', 90);
+      view.apply([{ kind: 'written', item: settings }], ERA);
+      expect(view.replace({ items: [settings], era: ERA }, NOW)).toBe(false);
+      expect(view.settings).toBeUndefined();
       expect(view.members.has(MEMBER)).toBe(true);
     });
 
