Keep settings in force when the daemon's platform is restored from a backup

Revisions of the settings were compared over the histories of the store.

Change: the adapter passes the cluster's id on as the history of a response. Each history has an era, recorded in the store; revisions of settings are composed from both. A relay that meets a history without an era takes the newest settings from writers and relays and writes them back with the next era; until then reads of the store fail as in an outage.

Claims on slots are not restored: open.

--- a/packages/core/src/failover/era-number.ts
+++ b/packages/core/src/failover/era-number.ts
@@ -13,6 +13,16 @@
   return era * NUMBERS_PER_ERA + revision;
 }
 
+/**
+ * Splits a number that `computeEraNumber` has computed.
+ *
+ * @param number - the number
+ * @returns era and revision
+ */
+export function splitEraNumber(number: number): { era: number; revision: number } {
+  return { era: Math.floor(number / NUMBERS_PER_ERA), revision: number % NUMBERS_PER_ERA };
+}
+
 /**
  * Computes the epoch of the next record of a group's primary. Records that were written in an earlier
  * era and then lost have lower epochs, even if this instance never saw them.
--- a/packages/daemon/src/platform/etcd-platform.ts
+++ b/packages/daemon/src/platform/etcd-platform.ts
@@ -15,9 +15,14 @@
   type PlatformRange,
   PlatformError,
   type PlatformWrite,
+  type StoreHistoryId,
 } from './platform-port.js';
 
-const headerSchema = z.object({ revision: z.coerce.number() });
+const headerSchema = z.object({
+  revision: z.coerce.number(),
+  // Differs after the cluster was restored from a snapshot. A 64-bit number, sent as text.
+  cluster_id: z.coerce.string().default(''),
+});
 const keySchema = z.object({
   key: z.string(),
   value: z.string().default(''),
@@ -72,6 +77,7 @@
       : { key: encodeBase64(prefix), range_end: encodeBase64(computePrefixEnd(prefix)) };
     const response = rangeSchema.parse(await this.call('/v3/kv/range', body, purpose));
     return {
+      history: decodeHistory(response.header),
       revision: response.header.revision,
       keys: response.kvs.map((kv) => ({
         key: decodeBase64(kv.key),
@@ -97,7 +103,8 @@
       failure: [],
     };
     const response = transactionSchema.parse(await this.call('/v3/kv/txn', body, purpose));
-    return { succeeded: response.succeeded, revision: response.header.revision };
+    const { header, succeeded } = response;
+    return { history: decodeHistory(header), succeeded, revision: header.revision };
   }
 
   async watch(
@@ -179,7 +186,8 @@
 
 /** Passes the events of one message of a watch on, one call for each revision. */
 function handleWatchLine(line: string, onEvents: (events: PlatformEvents) => void): void {
-  const { events } = watchSchema.parse(JSON.parse(line)).result;
+  const { events, header } = watchSchema.parse(JSON.parse(line)).result;
+  const history = decodeHistory(header);
   const byRevision = new Map<number, PlatformWrite[]>();
   for (const { type, kv } of events) {
     const writes = byRevision.get(kv.mod_revision) ?? [];
@@ -187,7 +195,11 @@
     writes.push({ key: decodeBase64(kv.key), value });
     byRevision.set(kv.mod_revision, writes);
   }
-  for (const [revision, writes] of byRevision) onEvents({ revision, writes });
+  for (const [revision, writes] of byRevision) onEvents({ history, revision, writes });
+}
+
+function decodeHistory({ cluster_id: id }: z.infer<typeof headerSchema>): StoreHistoryId {
+  return toBrand<StoreHistoryId>(id);
 }
 
 function encodeWrite({ key, value }: PlatformWrite): unknown {
--- a/packages/daemon/src/platform/platform-port.ts
+++ b/packages/daemon/src/platform/platform-port.ts
@@ -1,4 +1,4 @@
-import type { InstanceRecord } from '@heatherledge/core';
+import type { Brand, InstanceRecord } from '@heatherledge/core';
 
 /** A key with its value and the revision that last changed it. */
 export interface PlatformKey {
@@ -19,14 +19,22 @@
   readonly value: string | undefined;
 }
 
+/**
+ * Names the history of the store that revisions belong to; another one after the store was restored
+ * from a backup. Empty if the store names none.
+ */
+export type StoreHistoryId = Brand<string, 'StoreHistoryId'>;
+
 /** Keys with their contents at one revision of the store. */
 export interface PlatformRange {
+  readonly history: StoreHistoryId;
   readonly revision: number;
   readonly keys: readonly PlatformKey[];
 }
 
 /** Outcome of a transaction. */
 export interface PlatformOutcome {
+  readonly history: StoreHistoryId;
   /** Whether all conditions held and the changes were made. */
   readonly succeeded: boolean;
   /** Revision of the store after the transaction. */
@@ -35,6 +43,7 @@
 
 /** Changes made at one revision. */
 export interface PlatformEvents {
+  readonly history: StoreHistoryId;
   readonly revision: number;
   readonly writes: readonly PlatformWrite[];
 }
--- a/packages/daemon/src/settings/settings-store.ts
+++ b/packages/daemon/src/settings/settings-store.ts
@@ -7,14 +7,22 @@
   toBrand,
   validateChange,
 } from '@heatherledge/core';
-import type { PlatformCompare, PlatformPort, PlatformWrite } from '../platform/platform-port.js';
+import {
+  type PlatformCompare,
+  PlatformError,
+  type PlatformPort,
+  type PlatformWrite,
+} from '../platform/platform-port.js';
+import { SettingsHistory, type StoredHead } from './settings-history.js';
+import {
+  AUDIT_PREFIX,
+  DESCRIPTION_PREFIX,
+  ERA_KEY,
+  HEAD_KEY,
+  SETTINGS_PREFIX,
+} from './settings-keys.js';
 
-/** Prefix of the keys of all settings. */
-export const SETTINGS_PREFIX = '/heatherledge/settings/';
-/** Key that every change rewrites, so that its modification revision is the settings' revision. */
-const HEAD_KEY = '/heatherledge/settings/.head';
-/** Prefix of the keys of accepted changes, by change id. */
-const AUDIT_PREFIX = '/heatherledge/audit/';
+export { SETTINGS_PREFIX } from './settings-keys.js';
 
 /** Settings path of the list of instances that may write settings. */
 export const WRITERS_PATH = 'internal/writers';
@@ -54,6 +62,8 @@
 
 /** Reads and changes the settings in the platform's store. */
 export class SettingsStore {
+  private readonly history = new SettingsHistory();
+
   /** @param platform - client of the platform's store */
   constructor(private readonly platform: PlatformPort) {}
 
@@ -62,19 +72,15 @@
    * @throws PlatformError if the platform does not respond
    */
   async load(): Promise<SettingsState> {
-    const { keys } = await this.platform.readRange(SETTINGS_PREFIX, false, 'settings');
-    const head = keys.find(({ key }) => key === HEAD_KEY);
-    const entries: SettingsEntry[] = keys
-      .filter(({ key }) => key !== HEAD_KEY)
+    const range = await this.platform.readRange(SETTINGS_PREFIX, false, 'settings');
+    const revision = this.history.resolveHead(range);
+    const entries: SettingsEntry[] = range.keys
+      .filter(({ key }) => !key.startsWith(DESCRIPTION_PREFIX))
       .map(({ key, value }) => ({
         path: key.slice(SETTINGS_PREFIX.length),
         value: JSON.parse(value) as unknown,
       }));
-    return {
-      kind: 'state',
-      revision: toBrand<SettingsRevision>(head?.modRevision ?? 0),
-      entries,
-    };
+    return { kind: 'state', revision, entries };
   }
 
   /**
@@ -82,8 +88,65 @@
    * @throws PlatformError if the platform does not respond
    */
   async readHead(): Promise<SettingsRevision> {
-    const { keys } = await this.platform.readRange(HEAD_KEY, true, 'freshness');
-    return toBrand<SettingsRevision>(keys[0]?.modRevision ?? 0);
+    const range = await this.platform.readRange(DESCRIPTION_PREFIX, false, 'freshness');
+    return this.history.resolveHead(range);
+  }
+
+  /**
+   * Records the era of the present history if the store holds none; read the head first.
+   *
+   * @throws PlatformError if the platform does not respond
+   */
+  async ensureEraRecord(): Promise<void> {
+    if (!this.history.needsRecord) return;
+    const { history } = await this.platform.readRange(HEAD_KEY, true, 'settings');
+    const value = JSON.stringify({ history, era: 0 });
+    await this.platform.transact(
+      [{ key: ERA_KEY, modRevision: 0 }],
+      [{ key: ERA_KEY, value }],
+      'settings',
+    );
+    this.history.needsRecord = false;
+  }
+
+  /**
+   * Gives a restored store the next era, and writes the settings that the fleet knows if there are any.
+   *
+   * @param stored - what the restored store holds
+   * @param known - settings that the fleet knows; those of the store stay if the fleet knows none
+   * @throws PlatformError if the platform does not respond
+   */
+  async adoptHistory(stored: StoredHead, known: SettingsState | undefined): Promise<void> {
+    const { history, headRevision, eraRevision } = stored;
+    const newest = known?.revision ?? toBrand<SettingsRevision>(0);
+    const era = this.history.computeNextEra(stored, newest);
+    const writes: PlatformWrite[] = [
+      { key: ERA_KEY, value: JSON.stringify({ history, era }) },
+      { key: HEAD_KEY, value: `restored-${era}` },
+      ...(known === undefined ? [] : await this.listDifferences(known)),
+    ];
+    const compares = [
+      { key: ERA_KEY, modRevision: eraRevision },
+      { key: HEAD_KEY, modRevision: headRevision },
+    ];
+    await this.platform.transact(compares, writes, 'settings');
+  }
+
+  /** Lists the writes that turn the settings of the store into the given ones. */
+  private async listDifferences({ entries }: SettingsState): Promise<PlatformWrite[]> {
+    const { keys } = await this.platform.readRange(SETTINGS_PREFIX, false, 'settings');
+    const stored = keys.filter(({ key }) => !key.startsWith(DESCRIPTION_PREFIX));
+    const storedValues = new Map(stored.map(({ key, value }) => [key, value]));
+    const known = new Map(
+      entries.map(({ path, value }) => [`${SETTINGS_PREFIX}${path}`, JSON.stringify(value)]),
+    );
+    const removed = stored.flatMap(({ key }) =>
+      known.has(key) ? [] : [{ key, value: undefined }],
+    );
+    const changed = [...known].flatMap(([key, value]) =>
+      storedValues.get(key) === value ? [] : [{ key, value }],
+    );
+    return [...removed, ...changed];
   }
 
   /**
@@ -100,15 +163,15 @@
   ): Promise<void> {
     await this.platform.watch(
       SETTINGS_PREFIX,
-      from + 1,
-      ({ revision, writes }) => {
+      this.history.toStoreRevision(from) + 1,
+      ({ history, revision, writes }) => {
         const changes = writes
-          .filter(({ key }) => key !== HEAD_KEY)
+          .filter(({ key }) => !key.startsWith(DESCRIPTION_PREFIX))
           .map(({ key, value }) => ({
             path: key.slice(SETTINGS_PREFIX.length),
             value: value === undefined ? undefined : (JSON.parse(value) as unknown),
           }));
-        onChange(toBrand<SettingsRevision>(revision), changes);
+        onChange(this.history.toRevision(history, revision), changes);
       },
       signal,
     );
@@ -152,11 +215,12 @@
    * @throws PlatformError if the platform does not respond
    */
   async readHistory(): Promise<AuditRecord[]> {
-    const { keys } = await this.platform.readRange(AUDIT_PREFIX, false, 'audit');
+    await this.readHead();
+    const { keys, history } = await this.platform.readRange(AUDIT_PREFIX, false, 'audit');
     return keys
       .map(({ value, modRevision }) => ({
         ...(JSON.parse(value) as Omit<AuditRecord, 'revision'>),
-        revision: modRevision,
+        revision: this.history.toRevision(history, modRevision),
       }))
       .sort((left, right) => left.revision - right.revision);
   }
@@ -184,7 +248,7 @@
   ): Promise<SettingsRevision | undefined> {
     const { changeId, author, changes } = request;
     const compares: PlatformCompare[] = [
-      { key: HEAD_KEY, modRevision: state.revision },
+      { key: HEAD_KEY, modRevision: this.history.toStoreRevision(state.revision) },
       { key: `${AUDIT_PREFIX}${changeId}`, modRevision: 0 },
     ];
     const writes: PlatformWrite[] = changes.map(({ path, value }) => ({
@@ -195,13 +259,18 @@
     writes.push({ key: HEAD_KEY, value: changeId });
     writes.push({ key: `${AUDIT_PREFIX}${changeId}`, value: audit });
     const outcome = await this.platform.transact(compares, writes, 'settings');
-    return outcome.succeeded ? toBrand<SettingsRevision>(outcome.revision) : undefined;
+    if (!outcome.succeeded) return undefined;
+    const revision = this.history.toRevision(outcome.history, outcome.revision);
+    if (revision > state.revision) return revision;
+    throw new PlatformError('the store was restored while the change was made');
   }
 
   private async findAcceptedRevision(changeId: string): Promise<SettingsRevision | undefined> {
-    const { keys } = await this.platform.readRange(`${AUDIT_PREFIX}${changeId}`, true, 'audit');
-    const found = keys[0];
-    return found === undefined ? undefined : toBrand<SettingsRevision>(found.modRevision);
+    const range = await this.platform.readRange(`${AUDIT_PREFIX}${changeId}`, true, 'audit');
+    const found = range.keys[0];
+    if (found === undefined) return undefined;
+    await this.readHead();
+    return this.history.toRevision(range.history, found.modRevision);
   }
 
   private async resolveConflict(request: ChangeRequest): Promise<ChangeOutcome> {
--- a/packages/daemon/src/settings/settings-task.ts
+++ b/packages/daemon/src/settings/settings-task.ts
@@ -19,6 +19,7 @@
 import type { PeerHub } from '../peers/peer-hub.js';
 import type { PeerBodyOf } from '../peers/peer-messages.js';
 import { delay } from '../runtime/system-clock.js';
+import { StoreRestoredError, type StoredHead } from './settings-history.js';
 import {
   type ChangeOutcome,
   type ChangeRequest,
@@ -280,12 +281,33 @@
       const newest = await this.store.readHead();
       if (!this.isLoaded || newest > this.current.revision) this.apply(await this.store.load());
       this.recordFreshness(newest, requestedAt);
+      await this.store.ensureEraRecord();
       return true;
-    } catch {
+    } catch (error) {
+      if (error instanceof StoreRestoredError) await this.adoptHistory(error.stored);
       return false;
     }
   }
 
+  /**
+   * Brings the settings that the fleet knows back to a store that was restored from a backup. The newest
+   * are at the writers, or at another relay.
+   */
+  private async adoptHistory(stored: StoredHead): Promise<void> {
+    const others = new Set([...this.writers, ...this.relayIds].filter((id) => id !== this.self.id));
+    await Promise.all([...others].map(async (id) => this.pullFrom(id)));
+    const { revision, values } = this.current;
+    const entries = [...values].map(([path, value]) => ({ path, value }));
+    try {
+      await this.store.adoptHistory(
+        stored,
+        this.isLoaded ? { kind: 'state', revision, entries } : undefined,
+      );
+    } catch {
+      // The platform does not respond; the next read of the head begins again.
+    }
+  }
+
   private apply(update: SettingsState | SettingsDelta): void {
     if (this.replica.apply(update) !== 'applied') return;
     if (update.kind === 'delta') this.retainDelta(update);
--- a/packages/daemon/test/units/settings-task.test.ts
+++ b/packages/daemon/test/units/settings-task.test.ts
@@ -13,6 +13,7 @@
   type PlatformPort,
   SettingsStore,
   SettingsTask,
+  type StoreHistoryId,
 } from '../../src/index.js';
 
 const SELF = createInstance('self');
@@ -35,12 +36,14 @@
   return { id: name, failureDomain: 'd', host: 'h', peerPort: 1 } as InstanceRecord;
 }
 
+const HISTORY = toBrand<StoreHistoryId>('');
 const PLATFORM: PlatformPort = {
   readRange: async (prefix, exact) => ({
+    history: HISTORY,
     revision: 7,
     keys: exact && prefix !== HEAD.key ? [] : [HEAD, WRITERS_ENTRY],
   }),
-  transact: async () => ({ succeeded: false, revision: 7 }),
+  transact: async () => ({ history: HISTORY, succeeded: false, revision: 7 }),
   watch: async (_prefix, _from, _onEvents, signal) =>
     new Promise((resolve) => {
       signal.addEventListener('abort', () => resolve());
--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -6,6 +6,7 @@
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
+import type { PeerBody } from '@heatherledge/daemon';
 import { err, ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { encodeRecord, type FleetDirectory } from '../../src/index.js';
@@ -184,6 +185,40 @@
       },
     );
 
+    describe('beside an instance that has seen another era of the store', () => {
+      async function ask(relay: MemoryInstance, body: PeerBody): Promise<PeerBody | undefined> {
+        const from = findSubscriber().id;
+        const response = fleet.request(from, relay.id, body, 3000);
+        await fleet.run(response);
+        return response;
+      }
+
+      const createCheck = (relay: MemoryInstance, era: number): PeerBody => ({
+        kind: 'store.check',
+        era,
+        expectations: relay.view.listExpectations(relay.id).map(({ key }) => [key, 1_000_000]),
+      });
+
+      it.each([
+        ['an earlier', 0, 'conflict'],
+        ['the same', 1, 'held'],
+        ['a later', 2, 'unknown'],
+      ])('respond to a check of %s era with %s', async (_, era, outcome) => {
+        await startFleet(12, 3);
+        const relay = findRelay(findSubscriber());
+        expect(await ask(relay, createCheck(relay, era))).toMatchObject({ outcome, era: 1 });
+      });
+
+      it('pass no changes on that belong to another era', async () => {
+        await startFleet(12, 3);
+        const relay = findRelay(findSubscriber());
+        const watch = { kind: 'store.watch' as const, after: 0, waitMs: 100 };
+        expect(await ask(relay, { ...watch, era: 0 })).toMatchObject({ isLost: true });
+        const later = await ask(relay, { ...watch, era: 2 });
+        expect(later).toMatchObject({ changes: { events: [], era: 1 } });
+      });
+    });
+
     it('never present an old confirmation as a new one during an outage of the store', async () => {
       await startFleet(12, 3);
       for (const { client } of fleet.instances) client.isDisconnected = true;
--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -116,6 +116,18 @@
       expect(Math.max(...listAges())).toBeLessThan(1800);
     });
 
+    it('are not missed by a watch whose revision exists again after a return without an outage', async () => {
+      await startFleet(12, 3);
+      const copy = fleet.store.takeCopy();
+      putSettings(2);
+      await fleet.advance(500);
+      fleet.store.restore(copy);
+      putSettings(3);
+      fleet.store.put('other', Buffer.from(''));
+      await fleet.advance(RECOVERY_MS);
+      expect(listVersions()).toEqual(new Set([3]));
+    });
+
     it('that were acknowledged and lost stay in force, also at an instance that starts meanwhile', async () => {
       await startFleet(12, 3);
       await loseChanges(async () => {
--- a/packages/lab/src/faults/settings/settings-simulation.ts
+++ b/packages/lab/src/faults/settings/settings-simulation.ts
@@ -17,6 +17,7 @@
   parseWriters,
   SettingsStore,
   SettingsWriter,
+  type StoreHistoryId,
   WRITERS_PATH,
 } from '@heatherledge/daemon';
 import { KeyValueStore } from '@heatherledge/stand-ins';
@@ -66,6 +67,9 @@
 /** Settings path of the key that is withdrawn during the run. */
 export const WITHDRAWN_KEY_PATH = 'teams/t/keys/k';
 
+/** The modelled store is never restored from a backup. */
+const HISTORY = toBrand<StoreHistoryId>('');
+
 /** Platform port of one instance, which reaches the store over the fake network. */
 class ModelPlatform implements PlatformPort {
   constructor(
@@ -77,7 +81,7 @@
     return this.call('store-read', () => {
       const { store } = this.simulation;
       const keys = exact ? store.range(prefix) : store.range(prefix, `${prefix}\uffff`);
-      return { revision: store.revision, keys };
+      return { history: HISTORY, revision: store.revision, keys };
     });
   }
 
@@ -92,7 +96,8 @@
           : ({ kind: 'put', key, value } as const),
       );
       const checkedCompares = this.simulation.disabledGuards.has('compare') ? [] : compares;
-      return this.simulation.store.transact(checkedCompares, operations, []);
+      const outcome = this.simulation.store.transact(checkedCompares, operations, []);
+      return { history: HISTORY, ...outcome };
     });
   }
 
--- a/packages/stand-ins/src/platform/key-value-store.ts
+++ b/packages/stand-ins/src/platform/key-value-store.ts
@@ -37,17 +37,27 @@
   readonly ranges: readonly (readonly StoredKey[])[];
 }
 
+/** Contents of the store at one moment. */
+export interface StoreSnapshot {
+  readonly keys: ReadonlyMap<string, StoredKey>;
+  readonly revision: number;
+}
+
 /** Maximum size of a value. */
 export const MAX_VALUE_BYTES = 1024 * 1024;
 
+const CLUSTER_ID_BASE = 14_841_639;
+
 /** The stand-in platform's store: keys, revisions and history as in etcd, without any I/O. */
 export class KeyValueStore {
-  private readonly keys = new Map<string, StoredKey>();
+  private keys = new Map<string, StoredKey>();
 
-  private readonly history: StoreEvent[] = [];
+  private history: StoreEvent[] = [];
 
   private currentRevision = 1;
 
+  private restoreCount = 0;
+
   private readonly listeners = new Set<(events: readonly StoreEvent[]) => void>();
 
   /** @returns the store's revision: that of the last transaction with writes */
@@ -55,6 +65,28 @@
     return this.currentRevision;
   }
 
+  /** @returns id of the cluster, which changes when the store is restored from a snapshot */
+  get clusterId(): string {
+    return String(CLUSTER_ID_BASE + this.restoreCount);
+  }
+
+  /** @returns the present contents, for {@link restore} */
+  takeSnapshot(): StoreSnapshot {
+    return { keys: new Map(this.keys), revision: this.currentRevision };
+  }
+
+  /**
+   * Returns to earlier contents under another cluster id; later revisions are given out again.
+   *
+   * @param snapshot - the earlier contents
+   */
+  restore(snapshot: StoreSnapshot): void {
+    this.keys = new Map(snapshot.keys);
+    this.history = this.history.filter(({ modRevision }) => modRevision <= snapshot.revision);
+    this.currentRevision = snapshot.revision;
+    this.restoreCount += 1;
+  }
+
   /**
    * @param key - first key
    * @param rangeEnd - end of the range, exclusive; only `key` is returned if left out
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -5,6 +5,7 @@
   type StoredKey,
   type StoreEvent,
   type StoreOperation,
+  type StoreSnapshot,
   MAX_VALUE_BYTES,
 } from './key-value-store.js';
 
@@ -88,6 +89,17 @@
     this.watches.clear();
   }
 
+  /**
+   * Restores the store from a snapshot and closes all watches.
+   *
+   * @param snapshot - earlier contents of the store
+   */
+  restore(snapshot: StoreSnapshot): void {
+    this.store.restore(snapshot);
+    for (const watch of this.watches) watch.destroy();
+    this.watches.clear();
+  }
+
   /**
    * Replaces the list of instances, which becomes visible after `listLagMs`.
    *
@@ -154,7 +166,8 @@
   }
 
   private createHeader(): Json {
-    return { header: { revision: String(this.store.revision) } };
+    const { clusterId, revision } = this.store;
+    return { header: { cluster_id: clusterId, revision: String(revision) } };
   }
 
   private range(body: Json): Json {
@@ -178,7 +191,7 @@
     }
     const result = this.store.transact(compares, success, failure);
     return {
-      header: { revision: String(result.revision) },
+      header: { cluster_id: this.store.clusterId, revision: String(result.revision) },
       succeeded: result.succeeded,
       responses: result.ranges.map((kvs) => ({ response_range: { kvs: kvs.map(encodeKey) } })),
     };
