--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -172,10 +172,7 @@
     const isFirst = this.claimEra === undefined;
     this.claimEra = era;
     if (this.held !== undefined && this.held.era !== era) this.voidLease();
-    // A fleet without a record of its era has seen none before.
-    const hasCoordinator =
-      isComplete && (eraRecord === undefined || eraRecord.value.hasCoordinator);
-    const isSettled = isFirst && hasCoordinator;
+    const isSettled = isFirst && isComplete && eraRecord?.value.hasCoordinator === true;
     this.claimableAt = isSettled ? NEVER : toMilliseconds(this.clock.now() + LEASE_TTL_MS);
   }
 
