--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -1,29 +1,15 @@
-import {
-  chooseRelay,
-  type FleetSettings,
-  type InstanceId,
-  listRelays,
-  toBrand,
-  toMilliseconds,
-} from '@heatherledge/core';
+import { chooseRelay, type InstanceId, listRelays, toBrand } from '@heatherledge/core';
 import type { PeerBody } from '@heatherledge/daemon';
 import { err, ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { encodeRecord, type FleetDirectory } from '../../src/index.js';
 import { MemoryFleet, type MemoryInstance } from '../fixtures/memory-fleet.js';
+import { decodeSettingsVersion } from '../fixtures/settings-version.js';
 
 const DIRECTORY: FleetDirectory = {
   settingsKey: 'settings',
   membersPrefix: 'members/',
-  decodeSettings: (value) =>
-    ok({
-      version: Number(value.toString()),
-      routesByDatabase: new Map(),
-      groups: new Map(),
-      organisations: new Map(),
-      organisationByKey: new Map(),
-      transactionIdleMs: toMilliseconds(3000),
-    } satisfies FleetSettings),
+  decodeSettings: (value) => ok(decodeSettingsVersion(value)),
   decodeMember: () => err('the test has no members'),
 };
 
--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -1,12 +1,10 @@
 import {
   computeEraNumber,
-  type FleetSettings,
   type GroupId,
   type MemberEntry,
   type MemberId,
   type Term,
   toBrand,
-  toMilliseconds,
 } from '@heatherledge/core';
 import { ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -22,6 +20,7 @@
   SETTINGS_COPY_KEY,
 } from '../../src/index.js';
 import { MemoryFleet, type MemoryInstance } from '../fixtures/memory-fleet.js';
+import { decodeSettingsVersion } from '../fixtures/settings-version.js';
 
 const GROUP = toBrand<GroupId>('g');
 const PRIMARY_KEY = formatPrimaryKey(GROUP);
@@ -32,15 +31,7 @@
 const DIRECTORY: FleetDirectory = {
   settingsKey: 'settings',
   membersPrefix: 'members/',
-  decodeSettings: (value) =>
-    ok({
-      version: Number(value.toString()),
-      routesByDatabase: new Map(),
-      groups: new Map(),
-      organisations: new Map(),
-      organisationByKey: new Map(),
-      transactionIdleMs: toMilliseconds(3000),
-    } satisfies FleetSettings),
+  decodeSettings: (value) => ok(decodeSettingsVersion(value)),
   decodeMember: (key) =>
     ok({
       id: key.slice('members/'.length),
