Let relays check the store again after 0.2 s while it does not respond

What callers saw: after the store's return all instances refused what needs a recent confirmation for up to a second longer than necessary.

Cause: an instance whose direct check has failed waits 1 s before the next one. The relays wait as long, although the others depend on them; and the coordinator of before, which recovers the records, noticed the return late.

--- a/packages/gateway/src/fleet/relayed-source.ts
+++ b/packages/gateway/src/fleet/relayed-source.ts
@@ -37,8 +37,10 @@
  * check comes within a second. Confirmations are recent enough to serve for 2.6 s.
  */
 const MIN_DIRECT_CHECK_AGE_BESIDE_RELAY_MS = 1600;
-/** Delay after a failed direct check before this instance checks the store itself again. */
+/** Delay after a failed direct check before a subscriber checks the store itself again. */
 const DIRECT_CHECK_RETRY_DELAY_MS = 1000;
+/** The same for a relay; relays are few, and their subscribers wait for them. */
+const RELAY_CHECK_RETRY_DELAY_MS = 200;
 
 /**
  * Uses the relay of the instance's own failure domain, then the store itself, then a relay of
@@ -167,7 +169,8 @@
     ofSubscribers: readonly Expectation[],
   ): Promise<Result<CheckResult, StoreError>> {
     const failedAt = this.lastDirectFailureAt;
-    if (failedAt !== undefined && this.clock.now() - failedAt < DIRECT_CHECK_RETRY_DELAY_MS) {
+    const retryDelayMs = this.isRelay ? RELAY_CHECK_RETRY_DELAY_MS : DIRECT_CHECK_RETRY_DELAY_MS;
+    if (failedAt !== undefined && this.clock.now() - failedAt < retryDelayMs) {
       return err({ kind: 'unavailable', reason: 'the last direct check of the store failed' });
     }
     const checked = await this.storeSource.check(own, ofSubscribers);
--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -171,6 +171,26 @@
       },
     );
 
+    /**
+     * Load pattern: the store is away for 2 s or more and returns. Keyed requests stop 4 s after the last
+     * confirmation, which may be 1.4 s old when the outage begins.
+     */
+    it.each([2000, 2200, 2400, 2600, 2800, 3000])(
+      'are confirmed within 600 ms of the return of the store after %d ms',
+      async (outageMs) => {
+        await startFleet(12, 3);
+        fleet.store.isDown = true;
+        await fleet.advance(outageMs);
+        fleet.store.isDown = false;
+        const returnedAt = fleet.clock.now();
+        await fleet.advance(600);
+        for (const instance of fleet.instances) {
+          const confirmedAt = fleet.clock.now() - instance.resolveAge(fleet.clock.now());
+          expect(confirmedAt).toBeGreaterThanOrEqual(returnedAt - 10);
+        }
+      },
+    );
+
     describe('beside an instance that has seen another era of the store', () => {
       async function ask(relay: MemoryInstance, body: PeerBody): Promise<PeerBody | undefined> {
         const from = findSubscriber().id;
