Wait for orders that are under way, not for void leases, before the next claim

What callers saw: after a short return of the store the fleet had no coordinator for up to 2.6 s, so that a primary that failed just then was replaced later.

Cause: the next claim waited for the whole validity of the void lease, although its holder, which has answered that the lease is void, sends nothing more under it. Only an order that is under way can still take effect.

Change: the lease counts the orders that are sent under it; the answer to a recall names the time of those under way. An instance that does not answer is still waited for as long as its lease may last.

--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -61,6 +61,9 @@
   /** From when on no holder of an earlier era acts on its lease any more. */
   private claimableAt = NEVER;
 
+  /** Orders that may not have arrived yet. */
+  private ordersInFlight = 0;
+
   private isStopped = false;
 
   constructor(
@@ -129,7 +132,27 @@
    */
   voidLeasesBefore(era: StoreEra): number {
     if (this.held !== undefined && this.held.era < era) this.voidLease();
-    return this.held === undefined ? Math.max(0, this.validUntil - this.clock.now()) : 0;
+    if (this.held !== undefined || this.ordersInFlight === 0) return 0;
+    return Math.max(0, this.validUntil - this.clock.now());
+  }
+
+  /**
+   * Sends an order that only the coordinator may give. It is cancelled when the lease may have expired.
+   *
+   * @param send - sends the order with a fencing token and a timeout in milliseconds
+   * @returns the result, or undefined if this instance is not the coordinator
+   */
+  async sendOrder<Result>(
+    send: (fence: number, timeoutMs: number) => Promise<Result>,
+  ): Promise<Result | undefined> {
+    const { remainingMs } = this;
+    if (remainingMs <= 0) return undefined;
+    this.ordersInFlight += 1;
+    try {
+      return await send(this.fencingToken, remainingMs);
+    } finally {
+      this.ordersInFlight -= 1;
+    }
   }
 
   /**
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -247,9 +247,11 @@
     const entry = view.members.get(member);
     const deadline = clock.now() + PROMOTE_TIMEOUT_MS;
     while (entry !== undefined && clock.now() < deadline) {
-      if (!lease.isHeld) return false;
-      const timeoutMs = toMilliseconds(Math.min(PROMOTE_TIMEOUT_MS, lease.remainingMs));
-      await promotions.promote(this.group, member, self, lease.fencingToken, timeoutMs);
+      const outcome = await lease.sendOrder(async (fence, remainingMs) => {
+        const timeoutMs = toMilliseconds(Math.min(PROMOTE_TIMEOUT_MS, remainingMs));
+        return promotions.promote(this.group, member, self, fence, timeoutMs);
+      });
+      if (outcome === undefined) return false;
       if (await this.waitUntilPrimary(entry, control, deadline)) return true;
     }
     return false;
--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -394,6 +394,31 @@
       ).toBeLessThanOrEqual(1);
     });
 
+    it('is claimed again at once after a short outage, unless an order is under way', async () => {
+      await startFleet(6, 3, true);
+      const holder = findHolder();
+      const claimAfterReturn = async (): Promise<number> => {
+        const copy = fleet.store.takeCopy();
+        await fleet.advance(100);
+        const { fencingToken } = holder.lease;
+        fleet.store.restore(copy);
+        const returnedAt = fleet.clock.now();
+        while (!holder.lease.isHeld || holder.lease.fencingToken === fencingToken) {
+          await fleet.advance(10);
+        }
+        return fleet.clock.now() - returnedAt;
+      };
+      expect(await claimAfterReturn()).toBeLessThan(2000);
+      await fleet.advance(1000);
+      void holder.lease.sendOrder(
+        async () =>
+          new Promise((resolve) => {
+            setTimeout(resolve, 2500);
+          }),
+      );
+      expect(await claimAfterReturn()).toBeGreaterThan(2000);
+    });
+
     it('is claimed by another instance only after its holder has stopped to act', async () => {
       await startFleet(6, 3, true);
       const holder = findHolder();
