Let the coordinator of before claim its lease at once in a new era

Cause: after a return everybody waits for the duration of a lease, since an instance that does not answer may hold one. The coordinator of before need not: until the end of its own lease, as the store of before counts it, that store granted no other.

Change: an instance that notices a new era before its lease would have ended claims the next one at once, unless an order of its own is under way.

Measured: the new test of restored-store.test.ts fails without the rule (no coordinator after 2 s).

--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -49,6 +49,9 @@
 
   private validUntil = NEVER;
 
+  /** Until then the store grants the lease to no other instance, as long as it is not restored. */
+  private grantedUntil = NEVER;
+
   /** When the lease was claimed, or its last renewal was sent. */
   private renewedAt = NEVER;
 
@@ -132,8 +135,7 @@
    */
   voidLeasesBefore(era: StoreEra): number {
     if (this.held !== undefined && this.held.era < era) this.voidLease();
-    if (this.held !== undefined || this.ordersInFlight === 0) return 0;
-    return Math.max(0, this.validUntil - this.clock.now());
+    return this.held === undefined ? this.orderTtlMs : 0;
   }
 
   /**
@@ -196,7 +198,17 @@
     this.claimEra = era;
     if (this.held !== undefined && this.held.era !== era) this.voidLease();
     const isSettled = isFirst && isComplete && eraRecord?.value.hasCoordinator === true;
-    this.claimableAt = isSettled ? NEVER : toMilliseconds(this.clock.now() + LEASE_TTL_MS);
+    const now = this.clock.now();
+    // The store would not have granted another lease before the end of this instance's.
+    const wasLastHolder = now < this.grantedUntil;
+    if (isSettled) this.claimableAt = NEVER;
+    else if (wasLastHolder) this.claimableAt = toMilliseconds(now + this.orderTtlMs);
+    else this.claimableAt = toMilliseconds(now + LEASE_TTL_MS);
+  }
+
+  /** Time for which orders that are under way may take effect, in milliseconds. */
+  private get orderTtlMs(): number {
+    return this.ordersInFlight === 0 ? 0 : Math.max(0, this.validUntil - this.clock.now());
   }
 
   private voidLease(): void {
@@ -224,15 +236,22 @@
     if (era !== undefined && era > held.era) {
       this.voidLease();
     } else if (renewed.isOk()) {
-      this.validUntil = toMilliseconds(requestedAt + LEASE_TTL_MS - LEASE_SAFETY_MARGIN_MS);
+      this.extend(requestedAt);
     } else {
       const isReplaced = this.view.coordinator !== undefined && !this.isRecordedHolder;
       if (renewed.error.kind !== 'lease-lost' && !isReplaced) return;
       this.log.warn('coordinator.lost', { reason: renewed.error.reason });
       this.held = undefined;
+      this.grantedUntil = NEVER;
     }
   }
 
+  /** The lease runs from the arrival of the call, which is no earlier than when it was sent. */
+  private extend(requestedAt: Milliseconds): void {
+    this.grantedUntil = toMilliseconds(requestedAt + LEASE_TTL_MS);
+    this.validUntil = toMilliseconds(this.grantedUntil - LEASE_SAFETY_MARGIN_MS);
+  }
+
   private async claim(): Promise<void> {
     const { era } = this.view;
     const isOwn = this.view.coordinator !== undefined;
@@ -257,7 +276,7 @@
       return;
     }
     this.voidedName = undefined;
-    this.validUntil = toMilliseconds(requestedAt + LEASE_TTL_MS - LEASE_SAFETY_MARGIN_MS);
+    this.extend(requestedAt);
     this.log.info('coordinator.claimed', {
       instance: this.self,
       fence: computeEraNumber(era, written.value.revision),
--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -419,6 +419,22 @@
       expect(await claimAfterReturn()).toBeGreaterThan(2000);
     });
 
+    it('is claimed again at once by its holder, also if another instance does not respond', async () => {
+      await startFleet(6, 3, true);
+      const holder = findHolder();
+      const cut = fleet.instances.find((instance) => instance !== holder) as MemoryInstance;
+      cut.client.isDisconnected = true;
+      cut.isUnresponsive = true;
+      const copy = fleet.store.takeCopy();
+      fleet.store.isDown = true;
+      await fleet.advance(1000);
+      fleet.store.restore(copy);
+      fleet.store.isDown = false;
+      await fleet.advance(RECOVERY_MS, () => expect(findHolders().length).toBeLessThan(2));
+      expect(findHolder()).toBe(holder);
+      expect(holder.lease.fencingToken).toBeGreaterThan(computeEraNumber(2, 0));
+    });
+
     it('is claimed by another instance only after its holder has stopped to act', async () => {
       await startFleet(6, 3, true);
       const holder = findHolder();
