review: case 4, a second SIGTERM cuts accepted requests

Cause: stop() returns at once when it is called again, and the signal handler then exits although the drain of the first signal is under way.

With one SIGTERM only (TROUBLE=0) every request that ran was answered.

--- a/review/common/platform.mjs
+++ b/review/common/platform.mjs
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { connect, createServer as createTcpServer } from 'node:net';
 import { Buffer } from 'node:buffer';
 import { clearInterval, setInterval, setTimeout } from 'node:timers';
 
@@ -9,7 +10,9 @@
 
 /** Writes the entries of members as they do themselves, and removes those of silent ones. */
 export class MemberEntries {
-  constructor(store, group, zones) {
+  constructor(store, group, zones, addresses = new Map()) {
+    /** Addresses to announce in place of the members' own. */
+    this.addresses = addresses;
     this.store = store;
     this.group = group;
     this.zones = zones;
@@ -40,7 +43,7 @@
     this.lastBeatAt.set(member.id, Date.now());
     this.store.put(`servers/${member.id}`, {
       backend: this.group.name,
-      address: member.address,
+      address: this.addresses.get(member.id) ?? member.address,
       zone: this.zones[this.group.members.indexOf(member)],
       version: '1',
       slots: 2,
@@ -102,3 +105,42 @@
     this.server.close();
   }
 }
+
+/** Forwards connections to a member and holds its answers back for the time that its work takes. */
+export class WorkingMemberLink {
+  constructor(member, workMs) {
+    this.member = member;
+    this.workMs = workMs;
+    this.sockets = new Set();
+    this.server = createTcpServer((client) => this.accept(client));
+  }
+
+  async start() {
+    await new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    this.address = `127.0.0.1:${this.server.address().port}`;
+  }
+
+  stop() {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  accept(client) {
+    const [host, port] = this.member.address.split(':');
+    const target = connect({ host, port: Number(port) });
+    const pair = [client, target];
+    for (const socket of pair) {
+      this.sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => {});
+      socket.on('close', () => {
+        this.sockets.delete(socket);
+        for (const each of pair) each.destroy();
+      });
+    }
+    client.on('data', (chunk) => target.write(chunk));
+    target.on('data', (chunk) => setTimeout(() => client.write(chunk), this.workMs));
+  }
+}
