--- a/review/common/gateway.mjs
+++ b/review/common/gateway.mjs
@@ -44,13 +44,19 @@
   return bound;
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const MIN_PORT = 12_000;
+const MAX_PORT = 30_000;
+const takenPorts = new Set();
+
 /** Finds a free port whose successor is free as well. */
 async function findPortPair(host) {
   for (;;) {
-    const port = await tryPort(host, 0);
-    if (port !== undefined && port < 65_000 && (await tryPort(host, port + 1)) !== undefined) {
-      return port;
-    }
+    const port = MIN_PORT + 2 * Math.floor((Math.random() * (MAX_PORT - MIN_PORT)) / 2);
+    if (takenPorts.has(port)) continue;
+    takenPorts.add(port);
+    const isFree = (await tryPort(host, port)) !== undefined;
+    if (isFree && (await tryPort(host, port + 1)) !== undefined) return port;
   }
 }
 
