--- a/review/1/trial.mjs
+++ b/review/1/trial.mjs
@@ -77,10 +77,11 @@
     }
     sent += 1;
     const id = `w${sent}`;
+    const sentAt = Date.now();
     const lines = await caller.query(id, `WRITE item-${sent} value-${sent}`);
     if (lines === undefined) caller.close();
     else if (lines[0].startsWith('COMPLETE ') && !lines[0].startsWith('COMPLETE -')) {
-      acknowledged.push({ id, at: Date.now() });
+      acknowledged.push({ id, sentAt, at: Date.now(), answer: lines.join(' / ') });
     }
   }
   caller?.close();
@@ -118,9 +119,18 @@
   await isHealed;
 }
 
+/** Writes that their client was told to have succeeded and that the promoted member lacks. */
 function listLost() {
-  const ids = new Set(acknowledged.map(({ id }) => id));
-  return group.lostCommits.flatMap(({ requests }) => requests).filter((id) => ids.has(id));
+  const ids = new Set(group.lostCommits.flatMap(({ requests }) => requests));
+  return acknowledged.filter(({ id }) => ids.has(id));
+}
+
+function recordLost({ id, sentAt, at, answer }) {
+  const run = group.runs.find((each) => each.id === id);
+  const seconds = ((at - recorder.startedAt) / 1000).toFixed(3);
+  recorder.add(
+    `${id}: run by ${run?.member}, answered after ${at - sentAt} ms, at ${seconds} s: ${answer}`,
+  );
 }
 
 async function runTrial() {
@@ -144,9 +154,10 @@
     `${sent} writes sent, ${acknowledged.length} acknowledged, ${group.runs.length} statements run`,
   );
   recorder.add(`promoted: ${group.promotions.join(', ') || 'none'}`);
+  lost.forEach(recordLost);
   recorder.add(
     lost.length > 0
-      ? `LOST: acknowledged to the client, not in the log of the promoted member: ${lost.join(', ')}`
+      ? `LOST: acknowledged to the client, not in the log of the promoted member: ${lost.map(({ id }) => id).join(', ')}`
       : 'the rule held',
   );
   if (HAS_TROUBLE && group.promotions.length === 0) recorder.add('no member was promoted');
