--- a/packages/core/src/failover/commit-holders.ts
+++ b/packages/core/src/failover/commit-holders.ts
@@ -16,16 +16,22 @@
   return toBrand<MemberIncarnation>(`${id}/${incarnation}`);
 }
 
-/** @returns the id of the member that an incarnation belongs to */
-export function parseIncarnationMember(incarnation: MemberIncarnation): MemberEntry['id'] {
-  return toBrand<MemberEntry['id']>(incarnation.slice(0, incarnation.lastIndexOf('/')));
+/** @returns the member that an incarnation belongs to, and the number that identifies the incarnation */
+export function parseIncarnation(
+  holder: MemberIncarnation,
+): Pick<MemberEntry, 'id' | 'incarnation'> {
+  const separator = holder.lastIndexOf('/');
+  return {
+    id: toBrand<MemberEntry['id']>(holder.slice(0, separator)),
+    incarnation: Number(holder.slice(separator + 1)),
+  };
 }
 
 /** Differences between the recorded holders and the listed members. */
 export interface HolderChanges {
   /** Incarnations that are listed but not recorded yet. */
   readonly added: readonly MemberIncarnation[];
-  /** Incarnations that are recorded but no longer listed. */
+  /** Incarnations that are recorded but no longer listed; they may still be up. */
   readonly departed: readonly MemberIncarnation[];
 }
 
@@ -46,19 +52,20 @@
 }
 
 /**
- * Checks whether departed holders can be removed from the record without losing a commit.
+ * Checks whether holders that are gone can be removed from the record without losing a commit.
  *
  * When one replica is enough to acknowledge a commit, a replica that left or restarted empty may
  * have been the only one that held the commit besides the primary. It must stay recorded until
  * another replica has caught up with the primary; otherwise a change of primary could lose that
- * commit.
+ * commit. This covers the commits of before only: a holder that may still acknowledge others stays
+ * recorded however far the other replicas have received the log.
  *
- * @param primaryPosition - end of the primary's log, read after the holders departed
+ * @param primaryPosition - end of the primary's log, read after the holders were found to be gone
  * @param replicaPositions - log positions received by the remaining replicas
  * @param syncReplicas - replicas that must have received a commit before it is acknowledged
  * @returns whether enough remaining replicas hold everything that the departed ones held
  */
-export function mayRemoveDeparted(
+export function mayRemoveGone(
   primaryPosition: TermPosition,
   replicaPositions: readonly TermPosition[],
   syncReplicas: number,
--- a/packages/core/src/failover/promotion-plan.ts
+++ b/packages/core/src/failover/promotion-plan.ts
@@ -6,6 +6,8 @@
   readonly id: MemberId;
   readonly wasPrimary: boolean;
   readonly isDraining: boolean;
+  /** Callers are served by listed members only, so these are preferred. */
+  readonly isListed: boolean;
   /** Distance from most callers, 0 if as near as the old primary; nearer members are preferred. */
   readonly distance: number;
   /** Log position up to which it has received the log; undefined if it could not be fenced. */
@@ -64,6 +66,7 @@
 }
 
 function compareCandidates(left: FencedMember, right: FencedMember): number {
+  if (left.isListed !== right.isListed) return left.isListed ? -1 : 1;
   if (left.wasPrimary !== right.wasPrimary) return left.wasPrimary ? 1 : -1;
   if (left.distance !== right.distance) return left.distance - right.distance;
   return left.id < right.id ? -1 : 1;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export * from './types/ids.js';
 export * from './clock/suspension-detector.js';
 export * from './failover/commit-holders.js';
+export * from './failover/holder-presence.js';
 export * from './failover/promotion-plan.js';
 export * from './failover/suspicion-tracker.js';
 export * from './serving/choose-read-member.js';
--- a/packages/core/test/units/promotion.test.ts
+++ b/packages/core/test/units/promotion.test.ts
@@ -6,12 +6,12 @@
   type InstanceId,
   type TermPosition,
   type LogPosition,
-  mayRemoveDeparted,
+  mayRemoveGone,
   type MemberId,
   type MemberIncarnation,
   planPromotion,
   formatIncarnation,
-  parseIncarnationMember,
+  parseIncarnation,
   SuspicionTracker,
   type Term,
   toBrand,
@@ -28,7 +28,7 @@
     position === undefined
       ? undefined
       : { term: toBrand<Term>(3), position: toBrand<LogPosition>(position) };
-  const base = { wasPrimary: false, isDraining: false, distance: 0 };
+  const base = { wasPrimary: false, isDraining: false, isListed: true, distance: 0 };
   return { id: toBrand<MemberId>(id), received, ...base, ...changes };
 }
 
@@ -156,7 +156,7 @@
       added: [createIncarnation('r1', 2)],
       departed: [createIncarnation('r1', 1)],
     });
-    expect(parseIncarnationMember(createIncarnation('a/b', 3))).toBe('a/b');
+    expect(parseIncarnation(createIncarnation('a/b', 3))).toEqual({ id: 'a/b', incarnation: 3 });
   });
 
   it('are removed once enough replicas have received what the primary held after they left', () => {
@@ -164,11 +164,11 @@
       term: toBrand<Term>(1),
       position: toBrand<LogPosition>(position),
     });
-    expect(mayRemoveDeparted(createPosition(10), [createPosition(9)], 1)).toBe(false);
-    expect(mayRemoveDeparted(createPosition(10), [createPosition(9), createPosition(10)], 1)).toBe(
+    expect(mayRemoveGone(createPosition(10), [createPosition(9)], 1)).toBe(false);
+    expect(mayRemoveGone(createPosition(10), [createPosition(9), createPosition(10)], 1)).toBe(
       true,
     );
-    expect(mayRemoveDeparted(createPosition(10), [createPosition(9), createPosition(10)], 2)).toBe(
+    expect(mayRemoveGone(createPosition(10), [createPosition(9), createPosition(10)], 2)).toBe(
       false,
     );
   });
--- a/packages/gateway/src/failover/era-recovery.ts
+++ b/packages/gateway/src/failover/era-recovery.ts
@@ -272,10 +272,11 @@
   /** Creates the record of a change of primary, which the next coordinator completes. */
   private createChangingRecord(
     group: GroupId,
-    { epoch, member, holders }: PrimaryRecord,
+    { epoch, member, holders, endpoints }: PrimaryRecord,
     era: StoreEra,
   ): { key: string; value: Buffer } {
-    const record = { epoch: computeNextEpoch(epoch, era), previous: member, holders };
+    const nextEpoch = computeNextEpoch(epoch, era);
+    const record = { epoch: nextEpoch, previous: member, holders, endpoints };
     return { key: formatPrimaryKey(group), value: encodeRecord(record) };
   }
 }
--- a/packages/gateway/src/failover/failover-tasks.ts
+++ b/packages/gateway/src/failover/failover-tasks.ts
@@ -1,4 +1,4 @@
-import type { Clock, InstanceId } from '@heatherledge/core';
+import { type Clock, HolderPresenceTracker, type InstanceId } from '@heatherledge/core';
 import type { PeerHub } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { MemberRegistry } from '../members/member-registry.js';
@@ -57,7 +57,13 @@
     this.control = control;
     const changeServices = { self, clock, view, store, lease, control, promotions, hub };
     this.monitor = new PrimaryMonitor(
-      { ...changeServices, memberRegistry, log, confirmationTtlMs },
+      {
+        ...changeServices,
+        memberRegistry,
+        log,
+        confirmationTtlMs,
+        holderPresence: new HolderPresenceTracker(),
+      },
       hub,
       metrics,
     );
--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -1,4 +1,4 @@
-import { type Clock, type MemberEntry, type OrganisationId, type Term } from '@heatherledge/core';
+import { type Clock, type MemberEndpoint, type OrganisationId, type Term } from '@heatherledge/core';
 import { type MemberConnectionListener, MemberConnection } from '../members/member-connection.js';
 import type { MemberCommand, MemberConnector, MemberStatus } from '../ports/member-protocol.js';
 
@@ -8,6 +8,14 @@
   { kind: 'status' | 'pause' | 'resume' | 'step-down' }
 >;
 
+/** How a command to a member ended. */
+export type ControlOutcome =
+  | { readonly kind: 'answered'; readonly status: MemberStatus }
+  /** Another member responds at the address. */
+  | { readonly kind: 'wrong-member' }
+  /** No valid reply arrived in time; the command may have been carried out. */
+  | { readonly kind: 'lost' };
+
 /**
  * Time for the connection, the command and its retries; a round trip between regions takes 24 ms.
  */
@@ -38,29 +46,42 @@
   /**
    * Sends a command, and sends it again while the member is busy.
    *
-   * @param entry - the member
+   * @param member - the member, which need not be listed
    * @param command - the command
    * @returns the member's status after the command, or undefined without a valid reply in time
    */
   async sendCommand(
-    entry: MemberEntry,
+    member: MemberEndpoint,
     command: ControlCommand,
   ): Promise<MemberStatus | undefined> {
+    const outcome = await this.exchange(member, command);
+    return outcome.kind === 'answered' ? outcome.status : undefined;
+  }
+
+  /**
+   * Sends a command like `sendCommand`, and tells why there is no status.
+   *
+   * @param member - the member, which need not be listed
+   * @param command - the command
+   */
+  async exchange(member: MemberEndpoint, command: ControlCommand): Promise<ControlOutcome> {
     const deadline = this.clock.now() + EXCHANGE_TIMEOUT_MS;
     while (this.clock.now() < deadline) {
-      const connection = this.getConnection(entry);
+      const connection = this.getConnection(member);
       const exchange = await connection.exchange(command, deadline - this.clock.now());
       if (exchange.kind === 'answered' && exchange.reply.error === undefined) {
-        return this.connector.decodeStatus(exchange.reply.rows);
+        const status = this.connector.decodeStatus(exchange.reply.rows);
+        return status === undefined ? { kind: 'lost' } : { kind: 'answered', status };
       }
       // A member that is busy or has reached its connection limit is up: the command is retried.
       const code = exchange.kind === 'lost' ? exchange.code : exchange.reply.error?.code;
-      if (code !== 'busy' && code !== 'connection-limit') return undefined;
+      if (code === 'wrong-member') return { kind: 'wrong-member' };
+      if (code !== 'busy' && code !== 'connection-limit') return { kind: 'lost' };
       await new Promise((resolve) => {
         setTimeout(resolve, BUSY_RETRY_DELAY_MS);
       });
     }
-    return undefined;
+    return { kind: 'lost' };
   }
 
   /** Computes a term above all terms that the members report. */
@@ -75,7 +96,7 @@
     this.connections.clear();
   }
 
-  private getConnection(entry: MemberEntry): MemberConnection {
+  private getConnection(entry: MemberEndpoint): MemberConnection {
     const key = `${entry.id}/${entry.incarnation}`;
     const existing = this.connections.get(key);
     if (existing !== undefined && !existing.isClosed) return existing;
--- /dev/null
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -0,0 +1,164 @@
+import {
+  type Clock,
+  type FencedMember,
+  type GroupId,
+  type HolderPresenceTracker,
+  type MemberEndpoint,
+  type MemberId,
+  planPromotion,
+  type PromotionPlan,
+  type Term,
+} from '@heatherledge/core';
+import { delay } from '@heatherledge/daemon';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { EventLog } from '../runtime/event-log.js';
+import { MemberControl } from './member-control.js';
+import { type DepartedHolder, listDepartedHolders } from './recorded-holders.js';
+
+/** The attempt fails if no member can be promoted safely within this time. */
+const FENCE_TIMEOUT_MS = 2500;
+/** Delay before the members are fenced again. */
+const RETRY_INTERVAL_MS = 30;
+
+/** Services needed to fence the members of a group. */
+export interface FencingServices {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly control: MemberControl;
+  readonly holderPresence: HolderPresenceTracker;
+  readonly log: EventLog;
+}
+
+/** A member that a command can be sent to. */
+interface FenceTarget {
+  readonly endpoint: MemberEndpoint;
+  readonly isDraining: boolean;
+  readonly isListed: boolean;
+}
+
+/** Stops the commits of a group's old primary, and chooses the member to promote. */
+export class MemberFencing {
+  constructor(
+    private readonly group: GroupId,
+    private readonly services: FencingServices,
+  ) {}
+
+  /**
+   * Fences the members and chooses the one to promote.
+   *
+   * @param previous - the primary before the change
+   * @returns the member to promote, or undefined if no choice is safe in time
+   */
+  async chooseSuccessor(previous: MemberId | undefined): Promise<MemberEndpoint | undefined> {
+    const { clock, log } = this.services;
+    const deadline = clock.now() + FENCE_TIMEOUT_MS;
+    let reason = '';
+    while (clock.now() < deadline) {
+      const { plan, endpoints } = await this.fence(previous);
+      if (plan.kind === 'promote') return endpoints.get(plan.member);
+      reason = plan.reason;
+      await delay(RETRY_INTERVAL_MS);
+    }
+    log.warn('primary.change.unsafe', { group: this.group, reason, missing: this.listMissing() });
+    return undefined;
+  }
+
+  /** Fences the listed members, and the unlisted commit holders too unless the choice is safe without. */
+  private async fence(
+    previous: MemberId | undefined,
+  ): Promise<{ plan: PromotionPlan; endpoints: ReadonlyMap<MemberId, MemberEndpoint> }> {
+    const { view } = this.services;
+    const entries = view.listMembers(this.group);
+    const departed = this.listDeparted();
+    const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
+    let targets: FenceTarget[] = entries.map((endpoint) => ({
+      endpoint,
+      isDraining: endpoint.isDraining,
+      isListed: true,
+    }));
+    let plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
+    const unlisted = departed.flatMap(({ endpoint, isReplaced }) =>
+      endpoint === undefined || isReplaced
+        ? []
+        : [{ endpoint, isDraining: false, isListed: false }],
+    );
+    if (plan.kind === 'wait' && unlisted.length > 0) {
+      targets = [...targets, ...unlisted];
+      plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
+    }
+    return { plan, endpoints: new Map(targets.map(({ endpoint }) => [endpoint.id, endpoint])) };
+  }
+
+  /**
+   * Makes the old primary step down or, if that fails, pauses the replicas so that they receive no
+   * more log entries.
+   */
+  private async fenceTargets(
+    targets: readonly FenceTarget[],
+    departed: readonly DepartedHolder[],
+    previous: MemberId | undefined,
+  ): Promise<FencedMember[]> {
+    const { control } = this.services;
+    const statuses = await Promise.all(
+      targets.map(async ({ endpoint }) => control.sendCommand(endpoint, { kind: 'status' })),
+    );
+    const term = MemberControl.computeNextTerm(statuses);
+    const primary = targets.find((_, index) => statuses[index]?.role === 'primary');
+    const stepDown =
+      primary && (await control.sendCommand(primary.endpoint, { kind: 'step-down', term }));
+    const oldPrimary = primary?.endpoint.id ?? previous;
+    const isDemoted = stepDown?.role === 'replica';
+    const fenced = await Promise.all(
+      targets.map(async (target, index) => {
+        const isOld = target.endpoint.id === oldPrimary;
+        if (isOld) return createFenced(target, true, isDemoted ? stepDown.received : undefined);
+        const status = statuses[index];
+        if (isDemoted || status === undefined) {
+          return createFenced(target, false, status?.received);
+        }
+        return createFenced(target, false, await this.pauseReplica(target.endpoint, term));
+      }),
+    );
+    const reached = new Set(targets.map(({ endpoint }) => endpoint));
+    const missing = departed.filter(
+      ({ id, endpoint }) => id !== oldPrimary && (endpoint === undefined || !reached.has(endpoint)),
+    );
+    return [...fenced, ...missing.map(createMissing)];
+  }
+
+  /**
+   * Pauses a replica and returns its received log position, or undefined if the pause is not
+   * confirmed.
+   */
+  private async pauseReplica(
+    endpoint: MemberEndpoint,
+    term: Term,
+  ): Promise<FencedMember['received']> {
+    const status = await this.services.control.sendCommand(endpoint, { kind: 'pause', term });
+    return status !== undefined && status.heldTerm >= term ? status.received : undefined;
+  }
+
+  private listDeparted(): DepartedHolder[] {
+    const { view } = this.services;
+    const record = view.primaries.get(this.group)?.value;
+    return listDepartedHolders(this.group, record, view.listMembers(this.group));
+  }
+
+  private listMissing(): string[] {
+    return this.listDeparted().map(({ holder }) => holder);
+  }
+}
+
+function createFenced(
+  { endpoint, isDraining, isListed }: FenceTarget,
+  wasPrimary: boolean,
+  received: FencedMember['received'],
+): FencedMember {
+  return { id: endpoint.id, wasPrimary, isDraining, isListed, distance: 0, received };
+}
+
+/** Creates the state of an unlisted commit holder that was not reached. */
+function createMissing({ id }: DepartedHolder): FencedMember {
+  const state = { wasPrimary: false, isDraining: false, isListed: false, distance: 0 };
+  return { id, ...state, received: undefined };
+}
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -1,16 +1,11 @@
 import {
   type Clock,
-  compareHolders,
-  type FencedMember,
+  formatIncarnation,
   type GroupId,
+  type HolderPresenceTracker,
   type InstanceId,
-  type MemberEntry,
+  type MemberEndpoint,
   type MemberId,
-  type MemberIncarnation,
-  planPromotion,
-  formatIncarnation,
-  parseIncarnationMember,
-  type Term,
   toMilliseconds,
 } from '@heatherledge/core';
 import { delay, type PeerHub } from '@heatherledge/daemon';
@@ -18,15 +13,15 @@
 import type { PrimaryRecord } from '../fleet/records.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { PromotionPort } from '../ports/fleet-directory.js';
-import { MemberControl } from './member-control.js';
+import type { MemberControl } from './member-control.js';
+import { MemberFencing } from './member-fencing.js';
 import { type PrimaryRecordServices, writePrimaryRecord } from './primary-records.js';
+import { createHolderFields, listDepartedHolders } from './recorded-holders.js';
 
 /** Maximum wait for an instance to acknowledge that it no longer uses the old primary. */
 const SUSPEND_ACK_TIMEOUT_MS = 300;
 /** Maximum wait for a member to become the primary. */
 const PROMOTE_TIMEOUT_MS = 2000;
-/** The attempt fails if no member can be promoted safely within this time. */
-const FENCE_TIMEOUT_MS = 2500;
 /** Delay before another request is sent to the same members. */
 const POLL_INTERVAL_MS = 30;
 
@@ -38,6 +33,8 @@
   readonly promotions: PromotionPort;
   readonly hub: PeerHub;
   readonly memberRegistry: MemberRegistry;
+  /** What is known of commit holders that are no longer listed. */
+  readonly holderPresence: HolderPresenceTracker;
   /**
    * How long an instance relies on a confirmed record, in milliseconds. This long after a new
    * record was written, every instance has stopped using the old one.
@@ -76,15 +73,15 @@
     });
     const [, chosen] = await Promise.all([
       this.waitUntilSuspended(record),
-      this.fenceAndChoose(previous),
+      new MemberFencing(this.group, this.services).chooseSuccessor(previous),
     ]);
     const promoted = chosen !== undefined && (await this.promote(chosen));
-    const isDone = promoted && (await this.recordNewPrimary(chosen));
+    const isDone = promoted && (await this.recordNewPrimary(chosen.id));
     const { length: members } = view.listMembers(this.group);
     log.info('primary.change.ended', {
       group: this.group,
       previous,
-      primary: isDone ? chosen : undefined,
+      primary: isDone ? chosen.id : undefined,
       members,
       ms: Math.round(clock.now() - startedAt),
     });
@@ -102,18 +99,24 @@
   ): Promise<StoredRecord<PrimaryRecord> | undefined> {
     const { view, memberRegistry } = this.services;
     const known = view.primaries.get(this.group);
-    const holders = known?.value.holders ?? [];
+    const { holders = [], endpoints } = known?.value ?? {};
     const announcedEpoch = memberRegistry.primaryTracker.findSuspendedEpoch(this.group);
-    const content = { previous, holders };
+    const content = { previous, holders, endpoints };
     return writePrimaryRecord(this.services, this.group, known, content, announcedEpoch);
   }
 
   private async recordNewPrimary(member: MemberId): Promise<boolean> {
-    const { view } = this.services;
-    // The new primary holds all acknowledged commits, so earlier holders no longer matter.
-    const holders = view.listMembers(this.group).map(formatIncarnation);
+    const { view, clock, holderPresence } = this.services;
     const known = view.primaries.get(this.group);
-    const written = await writePrimaryRecord(this.services, this.group, known, { member, holders });
+    const entries = view.listMembers(this.group);
+    // An unlisted member that is up follows the new primary, and may acknowledge its commits.
+    const departed = listDepartedHolders(this.group, known?.value, entries)
+      .filter(({ holder, isReplaced }) => !isReplaced && !holderPresence.isGone(holder, clock.now()))
+      .map(({ holder }) => holder);
+    const holders = [...entries.map(formatIncarnation), ...departed];
+    const fields = createHolderFields(holders, entries, known?.value);
+    const content = { member, ...fields };
+    const written = await writePrimaryRecord(this.services, this.group, known, content);
     return written !== undefined;
   }
 
@@ -147,112 +150,17 @@
     await delay(waitMs);
   }
 
-  /**
-   * Fences the members and chooses the one to promote.
-   *
-   * @returns the member to promote, or undefined if no choice is safe in time
-   */
-  private async fenceAndChoose(previous: MemberId | undefined): Promise<MemberId | undefined> {
-    const { clock, view, log } = this.services;
-    const deadline = clock.now() + FENCE_TIMEOUT_MS;
-    let reason = '';
-    while (clock.now() < deadline) {
-      const entries = view.listMembers(this.group);
-      const members = await this.fenceMembers(entries, previous);
-      const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
-      const plan = planPromotion(members, syncReplicas);
-      if (plan.kind === 'promote') return plan.member;
-      reason = plan.reason;
-      await delay(POLL_INTERVAL_MS);
-    }
-    log.warn('primary.change.unsafe', { group: this.group, reason });
-    return undefined;
-  }
-
-  /**
-   * Makes the old primary step down or, if that fails, pauses the replicas so that they receive no
-   * more log entries.
-   */
-  private async fenceMembers(
-    entries: readonly MemberEntry[],
-    previous: MemberId | undefined,
-  ): Promise<FencedMember[]> {
-    const { control } = this.services;
-    const statuses = await Promise.all(
-      entries.map(async (entry) => control.sendCommand(entry, { kind: 'status' })),
-    );
-    const term = MemberControl.computeNextTerm(statuses);
-    const primaryEntry = entries.find((_, index) => statuses[index]?.role === 'primary');
-    const stepDown =
-      primaryEntry && (await control.sendCommand(primaryEntry, { kind: 'step-down', term }));
-    const oldPrimary = primaryEntry?.id ?? previous;
-    const isDemoted = stepDown?.role === 'replica';
-    const fenced = await Promise.all(
-      entries.map(async (entry, index) => {
-        const isOld = entry.id === oldPrimary;
-        if (isOld) return this.createFenced(entry, true, isDemoted ? stepDown.received : undefined);
-        const status = statuses[index];
-        if (isDemoted || status === undefined) {
-          return this.createFenced(entry, false, status?.received);
-        }
-        const received = await this.pauseReplica(entry, term);
-        return this.createFenced(entry, false, received);
-      }),
-    );
-    return [...fenced, ...this.listDepartedHolders(entries, oldPrimary)];
-  }
-
-  /** Lists departed replicas that may hold commits which no other replica holds. */
-  private listDepartedHolders(
-    entries: readonly MemberEntry[],
-    oldPrimary: MemberId | undefined,
-  ): FencedMember[] {
-    const recorded = this.services.view.primaries.get(this.group)?.value.holders ?? [];
-    const { departed } = compareHolders(
-      recorded as MemberIncarnation[],
-      entries.map(formatIncarnation),
-    );
-    return departed
-      .map(parseIncarnationMember)
-      .filter((id) => id !== oldPrimary)
-      .map((id) => ({
-        id,
-        wasPrimary: false,
-        isDraining: false,
-        distance: 0,
-        received: undefined,
-      }));
-  }
-
-  /**
-   * Pauses a replica and returns its received log position, or undefined if the pause is not
-   * confirmed.
-   */
-  private async pauseReplica(entry: MemberEntry, term: Term): Promise<FencedMember['received']> {
-    const status = await this.services.control.sendCommand(entry, { kind: 'pause', term });
-    return status !== undefined && status.heldTerm >= term ? status.received : undefined;
-  }
-
-  private createFenced(
-    entry: MemberEntry,
-    wasPrimary: boolean,
-    received: FencedMember['received'],
-  ): FencedMember {
-    return { id: entry.id, wasPrimary, isDraining: entry.isDraining, distance: 0, received };
-  }
-
   /** Requests the promotion until the member is the primary, the lease is lost or time runs out. */
-  private async promote(member: MemberId): Promise<boolean> {
-    const { lease, promotions, self, clock, view, control } = this.services;
-    const entry = view.members.get(member);
+  private async promote(member: MemberEndpoint): Promise<boolean> {
+    const { lease, promotions, self, clock, control } = this.services;
     const deadline = clock.now() + PROMOTE_TIMEOUT_MS;
-    while (entry !== undefined && clock.now() < deadline) {
+    while (clock.now() < deadline) {
       const outcome = await lease.sendOrder(async (fence, remainingMs) => {
         const timeoutMs = toMilliseconds(Math.min(PROMOTE_TIMEOUT_MS, remainingMs));
-        return promotions.promote(this.group, member, self, fence, timeoutMs);
+        return promotions.promote(this.group, member.id, self, fence, timeoutMs);
       });
       if (outcome === undefined) return false;
-      if (await this.waitUntilPrimary(entry, control, deadline)) return true;
+      if (await this.waitUntilPrimary(member, control, deadline)) return true;
     }
     return false;
   }
@@ -262,14 +170,14 @@
    * and may take effect even if no response arrived.
    */
   private async waitUntilPrimary(
-    entry: MemberEntry,
+    member: MemberEndpoint,
     control: MemberControl,
     deadline: number,
   ): Promise<boolean> {
     const { clock, view } = this.services;
     while (clock.now() < deadline) {
-      if (view.members.get(entry.id)?.role === 'primary') return true;
-      const status = await control.sendCommand(entry, { kind: 'status' });
+      if (view.members.get(member.id)?.role === 'primary') return true;
+      const status = await control.sendCommand(member, { kind: 'status' });
       if (status?.role === 'primary') return true;
       await delay(POLL_INTERVAL_MS);
     }
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -11,6 +11,7 @@
   toBrand,
 } from '@heatherledge/core';
 import type { PeerHub } from '@heatherledge/daemon';
+import type { MemberStatus } from '../ports/member-protocol.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
 import {
@@ -19,6 +20,7 @@
   PrimaryChange,
 } from './primary-change.js';
 import { writePrimaryRecord } from './primary-records.js';
+import { createHolderFields, listDepartedHolders } from './recorded-holders.js';
 
 const CHECK_INTERVAL_MS = 100;
 /** A primary is suspected if it has pending requests and has sent no response for this long. */
@@ -151,7 +153,8 @@
     if (entry === undefined) {
       const since = this.missingSince.get(group) ?? now;
       this.missingSince.set(group, since);
-      return now - since >= MISSING_PRIMARY_TIMEOUT_MS ? 'missing' : undefined;
+      if (now - since < MISSING_PRIMARY_TIMEOUT_MS) return undefined;
+      return (await this.mayReplaceMissing(group, member)) ? 'missing' : undefined;
     }
     this.missingSince.delete(group);
     const mayReplace = view
@@ -202,20 +205,42 @@
    * be reached ends while the primary certainly still serves.
    */
   private async mayStepDown(group: GroupId, draining: MemberEntry): Promise<boolean> {
-    const { view, control, clock } = this.services;
+    const { control, clock } = this.services;
     const since = this.drainingSince.get(draining.id) ?? clock.now();
     this.drainingSince.set(draining.id, since);
     if (clock.now() - since > MAX_CATCH_UP_WAIT_MS) return true;
     const primary = await control.sendCommand(draining, { kind: 'status' });
-    if (primary === undefined) return true;
+    return primary === undefined || this.hasCaughtUpReplica(group, draining.id, primary);
+  }
+
+  /**
+   * Checks whether a primary that is not listed may be replaced. One that is up goes on to acknowledge
+   * commits to callers that still use it, so a listed replica must have caught up with it first.
+   */
+  private async mayReplaceMissing(group: GroupId, member: MemberId): Promise<boolean> {
+    const { view, control } = this.services;
+    const record = view.primaries.get(group)?.value;
+    const departed = listDepartedHolders(group, record, view.listMembers(group));
+    const endpoint = departed.find(({ id }) => id === member)?.endpoint;
+    const status = endpoint && (await control.sendCommand(endpoint, { kind: 'status' }));
+    return status?.role !== 'primary' || this.hasCaughtUpReplica(group, member, status);
+  }
+
+  /** Checks whether a listed member that is not draining has received all that the primary holds. */
+  private async hasCaughtUpReplica(
+    group: GroupId,
+    primary: MemberId,
+    { received }: MemberStatus,
+  ): Promise<boolean> {
+    const { view, control } = this.services;
     const others = view
       .listMembers(group)
-      .filter(({ id, isDraining }) => id !== draining.id && !isDraining);
+      .filter(({ id, isDraining }) => id !== primary && !isDraining);
     const statuses = await Promise.all(
       others.map(async (other) => control.sendCommand(other, { kind: 'status' })),
     );
     return statuses.some(
-      (status) => status !== undefined && comparePositions(status.received, primary.received) >= 0,
+      (status) => status !== undefined && comparePositions(status.received, received) >= 0,
     );
   }
 
@@ -225,8 +250,9 @@
     const listedPrimaries = view.listMembers(group).filter(({ role }) => role === 'primary');
     const [primary] = listedPrimaries;
     if (listedPrimaries.length !== 1 || primary === undefined) return;
-    const holders = view.listMembers(group).map(formatIncarnation);
-    const value = { member: primary.id, holders };
+    const entries = view.listMembers(group);
+    const fields = createHolderFields(entries.map(formatIncarnation), entries, undefined);
+    const value = { member: primary.id, ...fields };
     const written = await writePrimaryRecord(this.services, group, undefined, value);
     if (written === undefined) return;
     log.info('primary.adopted', { group, primary: primary.id });
--- a/packages/gateway/src/failover/record-recall.ts
+++ b/packages/gateway/src/failover/record-recall.ts
@@ -115,8 +115,8 @@
     return [...view.primaries].flatMap(([group, { value }]) => {
       const epoch = primaryTracker.findSuspendedEpoch(group);
       if (epoch <= value.epoch) return [];
-      const { member, previous, holders } = value;
-      const record = { epoch, previous: member ?? previous, holders };
+      const { member, previous, holders, endpoints } = value;
+      const record = { epoch, previous: member ?? previous, holders, endpoints };
       return [{ key: formatPrimaryKey(group), value: encodeRecord(record) }];
     });
   }
--- a/packages/gateway/src/fleet/records.ts
+++ b/packages/gateway/src/fleet/records.ts
@@ -10,6 +10,7 @@
 export const ERA_KEY = `${RECORDS_PREFIX}era`;
 /** Key of the settings in force, written if the store has lost them. */
 export const SETTINGS_COPY_KEY = `${RECORDS_PREFIX}settings`;
+const MAX_PORT = 65_535;
 const INSTANCE_PREFIX = `${RECORDS_PREFIX}instance/`;
 const PRIMARY_PREFIX = `${RECORDS_PREFIX}primary/`;
 
@@ -30,6 +31,10 @@
   /** Whether a coordinator was elected in this era, so that no earlier lease is in use. */
   hasCoordinator: z.boolean(),
 });
+const endpointSchema = z.object({
+  host: z.string(),
+  port: z.number().int().min(1).max(MAX_PORT),
+});
 const primarySchema = z.object({
   /** Increases with each change of this record, in later eras of the store too. */
   epoch: z.number(),
@@ -42,6 +47,8 @@
    * holds.
    */
   holders: z.array(z.string()).default([]),
+  /** Address of each holder that has been listed, by incarnation; an unlisted one may still be up. */
+  endpoints: z.record(z.string(), endpointSchema).optional(),
 });
 
 /**
--- a/packages/gateway/src/ports/member-protocol.ts
+++ b/packages/gateway/src/ports/member-protocol.ts
@@ -1,7 +1,7 @@
 import type {
   GroupId,
   TermPosition,
-  MemberEntry,
+  MemberEndpoint,
   ReportedRole,
   OrganisationId,
   Term,
@@ -95,7 +95,7 @@
 
 /** The member to connect to, and the organisation that the connection serves. */
 export interface MemberTarget {
-  readonly entry: MemberEntry;
+  readonly entry: MemberEndpoint;
   readonly group: GroupId;
   /** Undefined for callers without a valid key, which public routes admit. */
   readonly organisation: OrganisationId | undefined;
