--- a/packages/core/src/failover/holder-presence.ts
+++ b/packages/core/src/failover/holder-presence.ts
@@ -55,6 +55,11 @@
     return known.presence === 'replaced' || now - known.since >= PRESUMED_GONE_MS;
   }
 
+  /** @returns whether the last attempt to reach an unlisted holder succeeded */
+  wasUp(holder: MemberIncarnation): boolean {
+    return this.presences.get(holder)?.presence === 'up';
+  }
+
   /** Forgets what was seen of holders that are listed again, or no longer recorded. */
   forget(holders: readonly MemberIncarnation[]): void {
     for (const holder of holders) this.presences.delete(holder);
--- a/packages/core/test/units/promotion.test.ts
+++ b/packages/core/test/units/promotion.test.ts
@@ -67,6 +67,15 @@
       expect(plan).toEqual({ kind: 'promote', member: 'b' });
     });
 
+    it('prefers a listed replica, but promotes an unlisted one that alone holds every commit', () => {
+      const createUnlisted = (position: number): FencedMember =>
+        createMember('a', position, { isListed: false });
+      const equal = [UNREACHABLE_PRIMARY, createUnlisted(9), createMember('b', 9)];
+      expect(planPromotion(equal, 1)).toEqual({ kind: 'promote', member: 'b' });
+      const ahead = [UNREACHABLE_PRIMARY, createUnlisted(9), createMember('b', 8)];
+      expect(planPromotion(ahead, 1)).toEqual({ kind: 'promote', member: 'a' });
+    });
+
     it('waits while a replica that may hold acknowledged commits is unreachable', () => {
       const members = [UNREACHABLE_PRIMARY, createMember('a', 8), createMember('b', undefined)];
       expect(planPromotion(members, 1).kind).toBe('wait');
--- a/packages/gateway/src/failover/commit-holder-tracker.ts
+++ b/packages/gateway/src/failover/commit-holder-tracker.ts
@@ -13,7 +13,11 @@
 import type { PrimaryRecord } from '../fleet/records.js';
 import type { PrimaryChangeServices } from './primary-change.js';
 import { writePrimaryRecord } from './primary-records.js';
-import { createHolderFields, type DepartedHolder, listDepartedHolders } from './recorded-holders.js';
+import {
+  createHolderFields,
+  type DepartedHolder,
+  listDepartedHolders,
+} from './recorded-holders.js';
 
 /** Minimum interval between checks of the holders of a group that are no longer listed. */
 const DEPARTED_CHECK_INTERVAL_MS = 500;
--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -1,4 +1,9 @@
-import { type Clock, type MemberEndpoint, type OrganisationId, type Term } from '@heatherledge/core';
+import {
+  type Clock,
+  type MemberEndpoint,
+  type OrganisationId,
+  type Term,
+} from '@heatherledge/core';
 import { type MemberConnectionListener, MemberConnection } from '../members/member-connection.js';
 import type { MemberCommand, MemberConnector, MemberStatus } from '../ports/member-protocol.js';
 
--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -63,27 +63,26 @@
     return undefined;
   }
 
-  /** Fences the listed members, and the unlisted commit holders too unless the choice is safe without. */
+  /**
+   * Fences the listed members, the old primary and unlisted holders that responded lately. Other unlisted
+   * holders, which take longest, are asked only if no choice is safe without them.
+   */
   private async fence(
     previous: MemberId | undefined,
   ): Promise<{ plan: PromotionPlan; endpoints: ReadonlyMap<MemberId, MemberEndpoint> }> {
-    const { view } = this.services;
-    const entries = view.listMembers(this.group);
+    const { view, holderPresence } = this.services;
     const departed = this.listDeparted();
     const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
-    let targets: FenceTarget[] = entries.map((endpoint) => ({
-      endpoint,
-      isDraining: endpoint.isDraining,
-      isListed: true,
-    }));
+    const listed: FenceTarget[] = view
+      .listMembers(this.group)
+      .map((endpoint) => ({ endpoint, isDraining: endpoint.isDraining, isListed: true }));
+    const isLikelyUp = ({ holder, id }: DepartedHolder): boolean =>
+      id === previous || holderPresence.wasUp(holder);
+    let targets = [...listed, ...createUnlistedTargets(departed.filter(isLikelyUp))];
     let plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
-    const unlisted = departed.flatMap(({ endpoint, isReplaced }) =>
-      endpoint === undefined || isReplaced
-        ? []
-        : [{ endpoint, isDraining: false, isListed: false }],
-    );
-    if (plan.kind === 'wait' && unlisted.length > 0) {
-      targets = [...targets, ...unlisted];
+    const unlisted = createUnlistedTargets(departed);
+    if (plan.kind === 'wait' && listed.length + unlisted.length > targets.length) {
+      targets = [...listed, ...unlisted];
       plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
     }
     return { plan, endpoints: new Map(targets.map(({ endpoint }) => [endpoint.id, endpoint])) };
@@ -149,6 +148,12 @@
   }
 }
 
+function createUnlistedTargets(departed: readonly DepartedHolder[]): FenceTarget[] {
+  return departed.flatMap(({ endpoint, isReplaced }) =>
+    endpoint === undefined || isReplaced ? [] : [{ endpoint, isDraining: false, isListed: false }],
+  );
+}
+
 function createFenced(
   { endpoint, isDraining, isListed }: FenceTarget,
   wasPrimary: boolean,
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -111,7 +111,9 @@
     const entries = view.listMembers(this.group);
     // An unlisted member that is up follows the new primary, and may acknowledge its commits.
     const departed = listDepartedHolders(this.group, known?.value, entries)
-      .filter(({ holder, isReplaced }) => !isReplaced && !holderPresence.isGone(holder, clock.now()))
+      .filter(
+        ({ holder, isReplaced }) => !isReplaced && !holderPresence.isGone(holder, clock.now()),
+      )
       .map(({ holder }) => holder);
     const holders = [...entries.map(formatIncarnation), ...departed];
     const fields = createHolderFields(holders, entries, known?.value);
--- a/packages/gateway/src/failover/recorded-holders.ts
+++ b/packages/gateway/src/failover/recorded-holders.ts
@@ -63,9 +63,7 @@
     const { id, incarnation } = parseIncarnation(holder);
     const address = record?.endpoints?.[holder];
     const endpoint = address && { id, group, incarnation, ...address };
-    const isReplaced = entries.some(
-      (entry) => entry.id === id && entry.incarnation > incarnation,
-    );
+    const isReplaced = entries.some((entry) => entry.id === id && entry.incarnation > incarnation);
     return { holder, id, endpoint, isReplaced };
   });
 }
