Refuse odd entries among those of the members

Another writer's entry with a port above 65535 made connect throw: each change of primary of the group failed, every 0.1 s, as long as the entry was there. 41 of 98 odd entries, each tried alone, were taken for members. A seqNo too large under a member's key made all its later entries count as older ones.

Cause: a lenient schema, and numbers of entries that were compared although the store orders entries itself within an era.

--- a/packages/gateway/src/fleet/fleet-contents.ts
+++ b/packages/gateway/src/fleet/fleet-contents.ts
@@ -51,6 +51,13 @@
 
   readonly instances = new RetainedEntries<InstanceId, StoredRecord<InstanceRecord>>();
 
+  /**
+   * Members that were known when the store returned from an older copy, each with the older entry that
+   * the store holds, if it does. The order of revisions tells which entry is the newest only within an
+   * era, so the numbers that members give their entries are compared until they can be listed again.
+   */
+  private readonly olderEntries = new Map<MemberId, MemberEntry | undefined>();
+
   coordinator: StoredRecord<CoordinatorRecord> | undefined;
 
   eraRecord: StoredRecord<EraRecord> | undefined;
@@ -70,6 +77,8 @@
     this.settings.beginEra();
     this.primaries.beginEra();
     this.retainMembers(now);
+    this.olderEntries.clear();
+    for (const id of this.members.entries.keys()) this.olderEntries.set(id, undefined);
     this.instances.retainUntil(toMilliseconds(now + INSTANCE_RELISTING_TIMEOUT_MS));
   }
 
@@ -178,11 +187,25 @@
    * @returns whether members or instances were removed
    */
   removeMissing(now: Milliseconds): { members: boolean; instances: boolean } {
+    const wasRetaining = this.members.isRetaining;
     const members = this.members.removeMissing(now);
+    const hasChanged = wasRetaining && !this.members.isRetaining && this.applyOlderEntries();
     const instances = this.instances.removeMissing(now);
     for (const member of members) this.log.info('member.unlisted', { member });
     for (const instance of instances) this.log.info('instance.unlisted', { instance });
-    return { members: members.length > 0, instances: instances.length > 0 };
+    return { members: hasChanged || members.length > 0, instances: instances.length > 0 };
+  }
+
+  /**
+   * Takes the entries that the store still holds when members have had the time to write newer ones.
+   *
+   * @returns whether there were any
+   */
+  private applyOlderEntries(): boolean {
+    const entries = [...this.olderEntries.values()].filter((entry) => entry !== undefined);
+    this.olderEntries.clear();
+    for (const entry of entries) this.setMember(entry, this.members.entries.get(entry.id));
+    return entries.length > 0;
   }
 
   private putMember({ key, value }: StoreItem): void {
@@ -194,10 +217,16 @@
     }
     const entry = decoded.value;
     const known = this.members.entries.get(entry.id);
-    if (known !== undefined && isOlderEntry(entry, known)) {
+    if (known !== undefined && this.olderEntries.has(entry.id) && isOlderEntry(entry, known)) {
+      this.olderEntries.set(entry.id, entry);
       this.members.put(entry.id, known);
       return;
     }
+    this.olderEntries.delete(entry.id);
+    this.setMember(entry, known);
+  }
+
+  private setMember(entry: MemberEntry, known: MemberEntry | undefined): void {
     this.members.put(entry.id, entry);
     if (known?.isDraining === entry.isDraining && known?.role === entry.role) return;
     const { id: member, group, role, isDraining, incarnation } = entry;
@@ -207,6 +236,7 @@
   /** Removes a member, or retains it unless it was draining. */
   private markMemberMissing(member: MemberId): void {
     const entry = this.members.entries.get(member);
+    this.olderEntries.delete(member);
     if (entry === undefined) return;
     if (this.members.isRetaining && !entry.isDraining) {
       this.members.markMissing(member);
--- a/packages/gateway/src/fleet/records.ts
+++ b/packages/gateway/src/fleet/records.ts
@@ -14,9 +14,11 @@
 const INSTANCE_PREFIX = `${RECORDS_PREFIX}instance/`;
 const PRIMARY_PREFIX = `${RECORDS_PREFIX}primary/`;
 
+const portSchema = z.int().min(1).max(MAX_PORT);
+const endpointSchema = z.object({ host: z.string(), port: portSchema });
 const instanceSchema = z.object({
   host: z.string(),
-  peerPort: z.number(),
+  peerPort: portSchema,
   domain: z.string(),
   /** Processor capacity in cores; instances with the most serve as relays and token lenders. */
   cores: z.number().default(1),
@@ -31,10 +33,6 @@
   /** Whether a coordinator was elected in this era, so that no earlier lease is in use. */
   hasCoordinator: z.boolean(),
 });
-const endpointSchema = z.object({
-  host: z.string(),
-  port: z.number().int().min(1).max(MAX_PORT),
-});
 const primarySchema = z.object({
   /** Increases with each change of this record, in later eras of the store too. */
   epoch: z.number(),
