Do not take a refused connection for the end of an instance

A change of primary did not wait for instances whose host refused a connection; behind a partition that resets, the process runs and reads at the old primary until its confirmation expires. The recall of leases after a return of the store believed the same.

Now the request is repeated until the instance, or the process started in its place, acknowledges it, or its confirmation or lease has ended. The successor's acknowledgement is sound: it knows nothing of before.

--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -45,9 +45,6 @@
 
   private readonly linkClosedListeners: ((link: PeerLink) => void)[] = [];
 
-  /** Times at which instances' hosts last refused a connection. */
-  private readonly refusedAt = new Map<InstanceId, number>();
-
   private server: WebSocketServer | undefined;
 
   private idleCheckTimer: NodeJS.Timeout | undefined;
@@ -163,17 +160,6 @@
     this.linkClosedListeners.push(listener);
   }
 
-  /**
-   * Checks whether an instance's host refused a connection recently. No process of the instance was
-   * running there then, and one that starts later has none of the earlier state.
-   *
-   * @param id - instance to check
-   * @param withinMs - maximum age of the refusal, in milliseconds
-   */
-  isRefusing(id: InstanceId, withinMs: number): boolean {
-    return performance.now() - (this.refusedAt.get(id) ?? -Infinity) < withinMs;
-  }
-
   onReady(link: PeerLink): void {
     const outbound = link.peer === undefined ? undefined : this.links.get(link.peer);
     if (outbound?.link === link) outbound.flush();
@@ -262,9 +248,6 @@
       handshakeTimeout: 1000,
       perMessageDeflate: false,
     });
-    socket.on('error', (error: NodeJS.ErrnoException) => {
-      if (error.code === 'ECONNREFUSED') this.refusedAt.set(to, performance.now());
-    });
     const link = new PeerLink(socket, this.identity, this, true);
     const outbound = new OutboundLink(link, this);
     this.links.set(to, outbound);
--- a/packages/gateway/src/failover/era-recovery.ts
+++ b/packages/gateway/src/failover/era-recovery.ts
@@ -143,7 +143,7 @@
     await this.restoreInstances(recalled.responded);
     if (!(await this.restoreRecords())) return false;
     if (!(await this.recordCompleteness(era))) return false;
-    lease.allowClaim(era, recalled.leasesVoidAt);
+    void recalled.leasesVoidAt.then((voidAt) => lease.allowClaim(era, voidAt));
     log.info('store.recovered', {
       era,
       responded: recalled.responded.length,
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -16,10 +16,9 @@
 import type { MemberControl } from './member-control.js';
 import { MemberFencing } from './member-fencing.js';
 import { type PrimaryRecordServices, writePrimaryRecord } from './primary-records.js';
+import { PrimarySuspension } from './primary-suspension.js';
 import { createHolderFields, listDepartedHolders } from './recorded-holders.js';
 
-/** Maximum wait for an instance to acknowledge that it no longer uses the old primary. */
-const SUSPEND_ACK_TIMEOUT_MS = 300;
 /** Maximum wait for a member to become the primary. */
 const PROMOTE_TIMEOUT_MS = 2000;
 /** Delay before another request is sent to the same members. */
@@ -72,7 +71,7 @@
       epoch: record.value.epoch,
     });
     const [, chosen] = await Promise.all([
-      this.waitUntilSuspended(record),
+      this.suspendPrevious(record.value.epoch),
       new MemberFencing(this.group, this.services).chooseSuccessor(previous),
     ]);
     const promoted = chosen !== undefined && (await this.promote(chosen));
@@ -88,6 +87,12 @@
     return isDone;
   }
 
+  private async suspendPrevious(epoch: number): Promise<void> {
+    const { primaryTracker } = this.services.memberRegistry;
+    const suspension = new PrimarySuspension(this.group, { ...this.services, primaryTracker });
+    await suspension.waitUntilSuspended(epoch);
+  }
+
   private findPreviousPrimary(): MemberId | undefined {
     const value = this.services.view.primaries.get(this.group)?.value;
     return (value?.member ?? value?.previous) as MemberId | undefined;
@@ -122,36 +127,6 @@
     return written !== undefined;
   }
 
-  /**
-   * Waits until every instance has stopped using the old primary: the instance has acknowledged the
-   * suspension, its host refuses connections because no process of it runs, or its confirmation of
-   * the old record has expired.
-   */
-  private async waitUntilSuspended(record: StoredRecord<PrimaryRecord>): Promise<void> {
-    const { self, clock, view, hub, memberRegistry, log, confirmationTtlMs } = this.services;
-    const writtenAt = clock.now();
-    const { epoch } = record.value;
-    memberRegistry.primaryTracker.suspend(this.group, epoch);
-    const others = [...view.instances.keys()].filter((id) => id !== self);
-    const body = { kind: 'primary.suspend' as const, group: this.group, epoch };
-    const responses = await Promise.all(
-      others.map(async (id) => ({
-        id,
-        response: await hub.request(id, body, SUSPEND_ACK_TIMEOUT_MS),
-      })),
-    );
-    const silent = responses
-      .filter(
-        ({ id, response }) =>
-          response?.kind !== 'done' && !hub.isRefusing(id, SUSPEND_ACK_TIMEOUT_MS * 2),
-      )
-      .map(({ id }) => id);
-    if (silent.length === 0) return;
-    const waitMs = Math.max(0, writtenAt + confirmationTtlMs - clock.now());
-    log.info('primary.change.waiting', { group: this.group, silent, waitMs: Math.round(waitMs) });
-    await delay(waitMs);
-  }
-
   /** Requests the promotion until the member is the primary, the lease is lost or time runs out. */
   private async promote(member: MemberEndpoint): Promise<boolean> {
     const { lease, promotions, self, clock, control } = this.services;
--- a/packages/gateway/src/failover/record-recall.ts
+++ b/packages/gateway/src/failover/record-recall.ts
@@ -11,6 +11,7 @@
 import type { PrimaryTracker } from '../members/primary-tracker.js';
 import type { StoreEra } from '../ports/control-store.js';
 import { type CoordinatorLease, LEASE_TTL_MS } from './coordinator-lease.js';
+import { requestUntil } from './request-until.js';
 
 /** Far longer than a round trip between regions, which takes 24 ms. */
 const RECALL_TIMEOUT_MS = 300;
@@ -27,8 +28,11 @@
   readonly records: readonly StoredValue[];
   /** Instances that responded. */
   readonly responded: readonly InstanceId[];
-  /** When no instance acts on a lease of an earlier era any more. */
-  readonly leasesVoidAt: Milliseconds;
+  /**
+   * When no instance acts on a lease of an earlier era any more; known once all instances have
+   * responded, or cannot hold a lease any more.
+   */
+  readonly leasesVoidAt: Promise<Milliseconds>;
 }
 
 /** Services needed to ask the other instances. */
@@ -74,6 +78,7 @@
     );
     const records = this.listAnnouncedChanges().map(({ key, value }) => ({ key, value }));
     const responded: InstanceId[] = [];
+    const silent: InstanceId[] = [];
     let waitMs = lease.voidLeasesBefore(era);
     for (const { id, response } of responses) {
       if (response?.kind === 'records.recalled') {
@@ -82,11 +87,27 @@
         for (const { key, value } of response.records) {
           records.push({ key, value: Buffer.from(value) });
         }
-      } else if (!hub.isRefusing(id, RECALL_TIMEOUT_MS * 2)) {
-        waitMs = Math.max(waitMs, LEASE_TTL_MS);
-      }
+      } else silent.push(id);
     }
-    return { records, responded, leasesVoidAt: toMilliseconds(clock.now() + waitMs) };
+    const voidAt = toMilliseconds(clock.now() + waitMs);
+    return { records, responded, leasesVoidAt: this.findVoidTime(request, silent, voidAt) };
+  }
+
+  /** Waits until the instances that did not respond have, or cannot hold a lease any more. */
+  private async findVoidTime(
+    request: PeerBodyOf<'records.recall'>,
+    silent: readonly InstanceId[],
+    voidAt: Milliseconds,
+  ): Promise<Milliseconds> {
+    const { hub, clock } = this.services;
+    const until = toMilliseconds(clock.now() + LEASE_TTL_MS);
+    const times = await Promise.all(
+      silent.map(async (id) => {
+        const response = await requestUntil(hub, clock, id, request, 'records.recalled', until);
+        return response === undefined ? until : toMilliseconds(clock.now() + response.leaseMs);
+      }),
+    );
+    return toMilliseconds(Math.max(voidAt, ...times));
   }
 
   private respond(request: PeerBodyOf<'records.recall'>): PeerBodyOf<'records.recalled'> {
