--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,7 +82,7 @@
 
   private rateShareTimer: NodeJS.Timeout | undefined;
 
-  private isStopping = false;
+  private stopped: Promise<void> | undefined;
 
   private isStarted = false;
 
@@ -200,6 +200,7 @@
     this.hosting.start();
     this.failover.startRecovery();
     await this.viewUpdater.start();
+    if (this.isStopping) return;
     if (this.viewUpdater.wasAlreadyListed) this.shareAllocator.resumeShare();
     this.updateRateShares();
     this.failover.start();
@@ -210,11 +211,20 @@
 
   /**
    * Drains the callers' sessions, releases the coordinator's lease if it is held, returns borrowed
-   * tokens, and stops all tasks.
+   * tokens, and stops all tasks. A repeated call changes nothing.
+   *
+   * @returns a promise that resolves when everything has stopped, the same one for each call
    */
   async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private get isStopping(): boolean {
+    return this.stopped !== undefined;
+  }
+
+  private async runStop(): Promise<void> {
     this.log.info('gateway.stopping', { sessions: this.sessionRegistry.count });
     this.hosting.announceStop();
     const { stopTimeoutMs } = this.settings;
