Bound what is held of and for all callers

Cause: a stream went on to be read and kept after its line was too long; unsent replies were limited for each caller (4 MiB) only, and callers that do not read were served on. Now nothing is kept after such a line, the splitter is linear, a caller that does not read is not read from, and all callers together have a tenth of the memory in the settings, the largest being dropped first, with a counter and a log line. Both faults are of one class and mended by one class, so they are one commit.

Tests, failing before: 'ends after a line that is too long', 'reads no more from a caller that does not read', 'keeps nothing of a stream' and the bounds of the splitter (the classes are new; the old listener has no such bounds).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './limits/organisation-limiter.js';
 export * from './limits/slot-claims.js';
 export * from './limits/initial-tokens.js';
+export * from './limits/memory-budget.js';
 export * from './limits/token-bucket.js';
 export * from './membership/choose-relay.js';
 export * from './membership/membership.js';
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -26,6 +26,12 @@
     registers: [this.registry],
   });
 
+  readonly callersDropped = new Counter({
+    name: 'heatherledge_gateway_callers_dropped_total',
+    help: 'Connections of callers that were dropped because all together held too much memory.',
+    registers: [this.registry],
+  });
+
   readonly memberConnections = new Counter({
     name: 'heatherledge_gateway_member_connections_total',
     help: 'Connections opened to members, by outcome.',
