--- a/packages/gateway/src/failover/commit-holder-tracker.ts
+++ b/packages/gateway/src/failover/commit-holder-tracker.ts
@@ -53,10 +53,16 @@
     if (departed.length === 0 || !this.isCheckDue(group)) return;
     const gone = await this.findGone(departed);
     if (gone.size === 0 || !(await this.hasCaughtUpReplicas(group, record, entries))) return;
-    this.services.log.info('primary.holders.forgotten', { group, departed: [...gone] });
-    const remaining = recorded.filter((holder) => !gone.has(holder));
-    await this.write(group, record, entries, remaining);
-    this.services.holderPresence.forget([...gone]);
+    const listedNow = this.services.view.listMembers(group);
+    const departedNow = new Set(
+      listDepartedHolders(group, record.value, listedNow).map(({ holder }) => holder),
+    );
+    // A holder may have listed itself again while it was being checked.
+    const forgotten = [...gone].filter((holder) => departedNow.has(holder));
+    const remaining = recorded.filter((holder) => !forgotten.includes(holder));
+    if (!(await this.write(group, record, listedNow, remaining))) return;
+    this.services.log.info('primary.holders.forgotten', { group, departed: forgotten });
+    this.services.holderPresence.forget(forgotten);
   }
 
   private isCheckDue(group: GroupId): boolean {
@@ -114,8 +120,8 @@
     record: StoredRecord<PrimaryRecord>,
     entries: readonly MemberEntry[],
     holders: readonly MemberIncarnation[],
-  ): Promise<void> {
+  ): Promise<boolean> {
     const value = { ...record.value, ...createHolderFields(holders, entries, record.value) };
-    await writePrimaryRecord(this.services, group, record, value);
+    return (await writePrimaryRecord(this.services, group, record, value)) !== undefined;
   }
 }
