--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -59,7 +59,8 @@
       reason = plan.reason;
       await delay(RETRY_INTERVAL_MS);
     }
-    log.warn('primary.change.unsafe', { group: this.group, reason, missing: this.listMissing() });
+    const departed = this.listDeparted().map(({ holder }) => holder);
+    log.warn('primary.change.unsafe', { group: this.group, reason, departed });
     return undefined;
   }
 
@@ -142,10 +143,6 @@
     const record = view.primaries.get(this.group)?.value;
     return listDepartedHolders(this.group, record, view.listMembers(this.group));
   }
-
-  private listMissing(): string[] {
-    return this.listDeparted().map(({ holder }) => holder);
-  }
 }
 
 function createUnlistedTargets(departed: readonly DepartedHolder[]): FenceTarget[] {
