Replace an unlisted primary although no replica can catch up with it

A primary without an entry that was up was replaced only once a listed replica had all that it held, with no limit, and was made to step down first, after which the choice asked for its whole log. With replicas that receive nothing, commits that nobody was told of kept the group without a primary until its entry was back.

Change: the wait ends after 4 s, as for a draining primary. The listed members are fenced first; when all that may hold a commit are paused, the choice does not need the old primary, which is then told to step down. It is asked only if no choice is safe without it, so a dead one costs no wait either.

--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -65,8 +65,8 @@
   }
 
   /**
-   * Fences the listed members, the old primary and unlisted holders that responded lately. Other unlisted
-   * holders, which take longest, are asked only if no choice is safe without them.
+   * Fences the listed members and unlisted holders that responded lately. An unlisted primary, and holders
+   * that did not respond, are asked only if no choice is safe without them.
    */
   private async fence(
     previous: MemberId | undefined,
@@ -77,18 +77,38 @@
     const listed: FenceTarget[] = view
       .listMembers(this.group)
       .map((endpoint) => ({ endpoint, isDraining: endpoint.isDraining, isListed: true }));
-    const isLikelyUp = ({ holder, id }: DepartedHolder): boolean =>
-      id === previous || holderPresence.wasUp(holder);
-    let targets = [...listed, ...createUnlistedTargets(departed.filter(isLikelyUp))];
-    let plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
+    const isReplicaUp = ({ holder, id }: DepartedHolder): boolean =>
+      id !== previous && holderPresence.wasUp(holder);
+    let targets = [...listed, ...createUnlistedTargets(departed.filter(isReplicaUp))];
+    let fenced = await this.fenceTargets(targets, departed, previous);
+    let plan = planPromotion(fenced.members, syncReplicas);
     const unlisted = createUnlistedTargets(departed);
     if (plan.kind === 'wait' && listed.length + unlisted.length > targets.length) {
       targets = [...listed, ...unlisted];
-      plan = planPromotion(await this.fenceTargets(targets, departed, previous), syncReplicas);
+      fenced = await this.fenceTargets(targets, departed, previous);
+      plan = planPromotion(fenced.members, syncReplicas);
+    } else if (plan.kind === 'promote') {
+      this.demoteUnlisted(departed, previous, fenced.term);
     }
     return { plan, endpoints: new Map(targets.map(({ endpoint }) => [endpoint.id, endpoint])) };
   }
 
+  /**
+   * Tells an unlisted primary that may be up to step down. The choice does not depend on it: the replicas
+   * are paused, so that its commits are not acknowledged.
+   */
+  private demoteUnlisted(
+    departed: readonly DepartedHolder[],
+    previous: MemberId | undefined,
+    term: Term,
+  ): void {
+    const endpoint = departed.find(
+      ({ id, isReplaced }) => id === previous && !isReplaced,
+    )?.endpoint;
+    if (endpoint === undefined) return;
+    void this.services.control.sendCommand(endpoint, { kind: 'step-down', term });
+  }
+
   /**
    * Makes the old primary step down or, if that fails, pauses the replicas so that they receive no
    * more log entries.
@@ -97,7 +117,7 @@
     targets: readonly FenceTarget[],
     departed: readonly DepartedHolder[],
     previous: MemberId | undefined,
-  ): Promise<FencedMember[]> {
+  ): Promise<{ members: FencedMember[]; term: Term }> {
     const { control } = this.services;
     const statuses = await Promise.all(
       targets.map(async ({ endpoint }) => control.sendCommand(endpoint, { kind: 'status' })),
@@ -123,7 +143,7 @@
     const missing = departed.filter(
       ({ id, endpoint }) => id !== oldPrimary && (endpoint === undefined || !reached.has(endpoint)),
     );
-    return [...fenced, ...missing.map(createMissing)];
+    return { members: [...fenced, ...missing.map(createMissing)], term };
   }
 
   /**
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -32,8 +32,8 @@
  */
 const MISSING_PRIMARY_TIMEOUT_MS = 2500;
 /**
- * Maximum wait for a replica to catch up with a draining primary, which serves for at least 7 s
- * after its draining is announced; a change of primary takes up to 1.5 s.
+ * Maximum wait for a replica to catch up with a primary that is draining or not listed. A draining one
+ * serves for at least 7 s after its draining is announced; a change of primary takes up to 1.5 s.
  */
 const MAX_CATCH_UP_WAIT_MS = 4000;
 
@@ -154,7 +154,10 @@
       const since = this.missingSince.get(group) ?? now;
       this.missingSince.set(group, since);
       if (now - since < MISSING_PRIMARY_TIMEOUT_MS) return undefined;
-      return (await this.mayReplaceMissing(group, member)) ? 'missing' : undefined;
+      const mayReplace =
+        now - since >= MISSING_PRIMARY_TIMEOUT_MS + MAX_CATCH_UP_WAIT_MS ||
+        (await this.mayReplaceMissing(group, member));
+      return mayReplace ? 'missing' : undefined;
     }
     this.missingSince.delete(group);
     const mayReplace = view
@@ -214,8 +217,8 @@
   }
 
   /**
-   * Checks whether a primary that is not listed may be replaced. One that is up goes on to acknowledge
-   * commits to callers that still use it, so a listed replica must have caught up with it first.
+   * Checks whether a primary that is not listed may be replaced now. If it is up, replicas may still catch
+   * up with it, which a change of primary would prevent.
    */
   private async mayReplaceMissing(group: GroupId, member: MemberId): Promise<boolean> {
     const { view, control } = this.services;
