--- a/packages/gateway/src/ports/caller-protocol.ts
+++ b/packages/gateway/src/ports/caller-protocol.ts
@@ -86,6 +86,8 @@
 
 /** A connection to a caller. */
 export interface CallerChannel {
+  /** Whether messages were received that the handler has not been given yet. */
+  readonly hasWaitingMessages: boolean;
   /** Sends the reply to the start of the session. */
   sendStarted(reply: StatementReply): void;
   /** Sends the reply to a statement. */
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -146,7 +146,8 @@
   }
 
   private closeIfIdle(): void {
-    if (!this.isDraining || this.isClosed || this.isRunning || this.queue.length > 0) return;
+    if (!this.isDraining || this.isClosed || this.isRunning) return;
+    if (this.queue.length > 0 || this.channel.hasWaitingMessages) return;
     if (this.transaction === undefined && this.mayCloseWhenIdle) this.close();
   }
 
--- a/packages/gateway/test/units/caller-session.test.ts
+++ b/packages/gateway/test/units/caller-session.test.ts
@@ -11,6 +11,7 @@
   /** Guards against an unexpected error in one session that ends the process with all others. */
   it('closes itself alone when handling a message fails unexpectedly', async () => {
     const channel: CallerChannel = {
+      hasWaitingMessages: false,
       sendStarted: vi.fn(),
       sendReply: vi.fn(),
       sendFinalError: vi.fn(),
