--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,6 +16,7 @@
   resolve: { alias },
   test: {
     include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
+    globalSetup: ['test/setup/bundle-gateway.ts'],
     setupFiles: ['test/setup/yield-between-tests.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
