Keep the session values of a read that still waits when the session sets others

Cause: a read without a reply after 300 ms is sent to a second member as well. While the first request still waits for a slot or a connection, the second may be served, and the caller may send a SET. Requests held the session's map of values by reference, and SET changed that map.

The new test failed before: the request to the first member held the value of the SET ("expected [ Array(2) ] to deeply equal [ [ 'm1', [] ], [ 'm2', [] ] ]").

Mend: the map of a session is replaced with each SET and never changed. Prepared statements are immutable already; writes and transactions are sent to one member at a time.

--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -257,9 +257,11 @@
     statement: Extract<CallerStatement, { kind: 'set' | 'prepare' | 'deallocate' }>,
   ): StatementReply {
     const { prepared, values } = this.state;
-    if (statement.kind === 'set') values.set(statement.name, statement.value);
-    else if (statement.kind === 'prepare') prepared.set(statement.name, createPrepared(statement));
-    else if (!prepared.delete(statement.name)) {
+    if (statement.kind === 'set') {
+      this.state.values = new Map(values).set(statement.name, statement.value);
+    } else if (statement.kind === 'prepare') {
+      prepared.set(statement.name, createPrepared(statement));
+    } else if (!prepared.delete(statement.name)) {
       return this.createRefusal('unknown-name', 'no prepared statement has this name');
     }
     return createLocalReply(this.transactionState);
