Limit the size of the changes that every instance keeps of the store

What was seen: an odd entry of a megabyte under the members' keys, written again and again as a heartbeat does, let each process grow by a megabyte a writing, from 65 MB to 284 to 319 MB after 200 (8 processes); the platform ends a process above 250 MB.

Cause: the last 200 changes were kept for subscribers, whatever their size, with values that nobody can read. A lagging subscriber would also have been sent more than a message between instances may hold.

--- a/packages/gateway/src/fleet/relay-server.ts
+++ b/packages/gateway/src/fleet/relay-server.ts
@@ -9,20 +9,14 @@
   StoreSnapshot,
 } from '../ports/control-store.js';
 import type { SampleExchange } from '../members/sample-exchange.js';
+import { ChangeBuffer } from './change-buffer.js';
 import type { FleetView } from './fleet-view.js';
 import { formatInstanceKey, parseRecordKey } from './records.js';
 import type { Expectation } from './view-source.js';
 
-/** Buffered for subscribers that lag; a burst of settings changes brings 10 batches a second. */
-const MAX_BUFFERED_BATCHES = 200;
 /** The record of a subscriber that has sent no check for this long is no longer checked. */
 const SUBSCRIBER_TTL_MS = 10_000;
 
-interface Batch extends StoreChanges {
-  /** The revision that the changes follow. */
-  readonly after: StoreRevision;
-}
-
 /** A point in the history of the store. */
 interface StorePoint {
   readonly revision: StoreRevision;
@@ -47,7 +41,7 @@
  * subscriber turns to the store.
  */
 export class RelayServer {
-  private batches: Batch[] = [];
+  private readonly buffer = new ChangeBuffer();
 
   /** Contents of the store, for subscribers that cannot load it themselves. */
   private items = new Map<string, StoreItem>();
@@ -83,7 +77,7 @@
    * @param snapshot - the loaded contents
    */
   reset({ items, revision, era }: StoreSnapshot): void {
-    this.batches = [];
+    this.buffer.clear();
     this.items = new Map(items.map((item) => [item.key, item]));
     this.revision = revision;
     this.era = era;
@@ -103,8 +97,7 @@
       if (event.kind === 'written') this.items.set(event.item.key, event.item);
       else this.items.delete(event.key);
     }
-    this.batches.push({ ...changes, after });
-    this.batches.splice(0, this.batches.length - MAX_BUFFERED_BATCHES);
+    this.buffer.add(after, changes);
     this.resolveWatches();
   }
 
@@ -152,11 +145,9 @@
     }
     if (this.era > since.era) return { kind: 'store.changes', isLost: true };
     // All changes after this revision are buffered.
-    const earliest = this.batches[0]?.after ?? this.revision;
+    const earliest = this.buffer.start ?? this.revision;
     if (earliest === undefined || earliest > after) return { kind: 'store.changes', isLost: true };
-    const events = this.batches
-      .filter(({ revision }) => revision > after)
-      .flatMap((batch) => batch.events.map(encodeEvent));
+    const events = this.buffer.listAfter(since.revision).map(encodeEvent);
     const revision = Math.max(after, this.revision ?? after);
     return { kind: 'store.changes', changes: { events, revision, era: this.era } };
   }
--- a/packages/gateway/src/fleet/store-source.ts
+++ b/packages/gateway/src/fleet/store-source.ts
@@ -6,8 +6,11 @@
   StoreChanges,
   StoreEra,
   StoreError,
+  StoreItem,
   StoreRevision,
 } from '../ports/control-store.js';
+import { MAX_ENTRY_BYTES } from '../ports/fleet-directory.js';
+import { SETTINGS_COPY_KEY } from './records.js';
 import type { CheckResult, Expectation, Listing, ViewSource } from './view-source.js';
 
 /**
@@ -28,14 +31,23 @@
 export class StoreSource implements ViewSource {
   private readonly watchPacer = new CallPacer(WATCH_PACE);
 
+  /**
+   * @param store - the store
+   * @param clock - clock of this process
+   * @param settingsKey - key of the operators' settings
+   */
   constructor(
     private readonly store: ControlStore,
     private readonly clock: Clock,
+    private readonly settingsKey: string,
   ) {}
 
   async readAll(): Promise<Result<Listing, StoreError>> {
     const snapshot = await this.store.readAll('', STORE_TIMEOUT_MS);
-    return snapshot.map((contents) => ({ ...contents, isRelayed: false }));
+    return snapshot.map((contents) => {
+      const items = contents.items.map((item) => this.limitSize(item));
+      return { ...contents, items, isRelayed: false };
+    });
   }
 
   async watch(
@@ -44,7 +56,24 @@
   ): Promise<Result<StoreChanges, StoreError>> {
     const delayMs = this.watchPacer.take(this.clock.now());
     if (delayMs > 0) await delay(delayMs);
-    return this.store.watch('', after, MAX_STORE_WATCH_WAIT_MS, signal);
+    const changes = await this.store.watch('', after, MAX_STORE_WATCH_WAIT_MS, signal);
+    return changes.map((contents) => {
+      const events = contents.events.map((event) =>
+        event.kind === 'written' ? { ...event, item: this.limitSize(event.item) } : event,
+      );
+      return { ...contents, events };
+    });
+  }
+
+  /**
+   * Cuts off the value of an item that is too large to be read; it remains too large. Every instance keeps
+   * items and changes for its subscribers, and another writer may write a large one again and again.
+   */
+  private limitSize(item: StoreItem): StoreItem {
+    const isSettings = item.key === this.settingsKey || item.key === SETTINGS_COPY_KEY;
+    if (isSettings || item.value.length <= MAX_ENTRY_BYTES) return item;
+    // A copy, as a part of a buffer keeps the whole buffer in memory.
+    return { ...item, value: Buffer.from(item.value.subarray(0, MAX_ENTRY_BYTES + 1)) };
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,7 +124,7 @@
     const instanceRecord = { host, peerPort, domain: failureDomain, cores: settings.cores };
     const samples = new SampleExchange(this.memberRegistry.primaryTracker, clock, this.random);
     const relayServer = new RelayServer(this.peerHub, this.view, clock, samples);
-    const storeSource = new StoreSource(store, clock);
+    const storeSource = new StoreSource(store, clock, directory.settingsKey);
     const viewSource = new RelayedSource(
       instance,
       storeSource,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * from './fleet/change-buffer.js';
 export * from './fleet/domains.js';
 export * from './fleet/fleet-view-updater.js';
 export * from './fleet/fleet-view.js';
--- a/packages/gateway/src/ports/fleet-directory.ts
+++ b/packages/gateway/src/ports/fleet-directory.ts
@@ -7,6 +7,12 @@
 } from '@heatherledge/core';
 import type { Result } from 'neverthrow';
 
+/**
+ * Maximum size of an entry or a record, which take a few hundred bytes; parsing a nested megabyte can take
+ * a hundred times its size. The settings may be larger.
+ */
+export const MAX_ENTRY_BYTES = 65_536;
+
 /** Keys of the platform's own data in the store, and decoders for their values. */
 export interface FleetDirectory {
   /** Key of the operators' settings. */
--- a/packages/gateway/test/units/relays.test.ts
+++ b/packages/gateway/test/units/relays.test.ts
@@ -1,8 +1,8 @@
 import { chooseRelay, type InstanceId, listRelays, toBrand } from '@heatherledge/core';
-import type { PeerBody } from '@heatherledge/daemon';
+import type { PeerBody, PeerBodyOf } from '@heatherledge/daemon';
 import { err, ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { encodeRecord, type FleetDirectory } from '../../src/index.js';
+import { encodeRecord, type FleetDirectory, MAX_ENTRY_BYTES } from '../../src/index.js';
 import { MemoryFleet, type MemoryInstance } from '../fixtures/memory-fleet.js';
 import { decodeSettingsVersion } from '../fixtures/settings-version.js';
 
@@ -121,6 +121,22 @@
       for (const { view } of fleet.instances) expect(view.settings?.version).toBe(2);
     });
 
+    // Guards against memory that grows with each writing, until the process ends.
+    it('keep and send little of an entry of a megabyte, and follow the settings beside it', async () => {
+      await startFleet(12, 3);
+      const subscriber = findSubscriber();
+      fleet.store.put('members/odd', Buffer.alloc(1024 * 1024, '['));
+      fleet.store.put('settings', Buffer.from('2'));
+      await fleet.advance(500);
+      for (const { view } of fleet.instances) expect(view.settings?.version).toBe(2);
+      const relay = findRelay(subscriber).id;
+      const response = fleet.request(subscriber.id, relay, { kind: 'store.list' }, 3000);
+      await fleet.run(response);
+      const listed = (await response) as PeerBodyOf<'store.listed'>;
+      const odd = listed.listing?.events.find(({ key }) => key === 'members/odd');
+      expect(odd?.item?.value.length).toBe(MAX_ENTRY_BYTES + 1);
+    });
+
     it('are replaced in time if they do not respond', async () => {
       await startFleet(12, 3);
       const subscriber = findSubscriber();
