Let one unreadable entry of another writer not stop the daemon from following the settings

What callers saw: beside one value among the settings that is not JSON, each change of the settings, a withdrawal of a key among them, was refused with 503, and an instance that started never became ready. With one odd entry in the platform's list of instances none of them was found.

Cause: values were decoded with JSON.parse, which throws, so that one decided over all; the error was taken for a platform that does not respond. The list of instances was checked as a whole.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,7 @@
 export * from './process-settings/load.js';
 export * from './process-settings/schema.js';
 export * from './settings/settings-store.js';
+export * from './settings/stored-value.js';
 export * from './settings/settings-task.js';
 export * from './sql/statement-classifier.js';
 export * from './sql/comment-parameters.js';
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -399,6 +399,7 @@
     this.metrics.sessions.set(this.callers.connectionCount);
     this.metrics.settingsAgeSeconds.set(ageMs === undefined ? -1 : ageMs / 1000);
     this.metrics.settingsRevision.set(this.getSettings().revision);
+    this.metrics.settingsInvalid.set(this.getSettings().invalidPaths.size);
     this.metrics.slots.set(this.slots.owned.length);
     this.metrics.controlBytes.set(this.groups.controlBytes);
     this.metrics.watchedGroups.set(this.groups.watchedViews.length);
--- a/packages/daemon/src/platform/etcd-platform.ts
+++ b/packages/daemon/src/platform/etcd-platform.ts
@@ -36,16 +36,13 @@
     events: z.array(z.object({ type: z.string().optional(), kv: keySchema })).default([]),
   }),
 });
-const listSchema = z.object({
-  instances: z.array(
-    z.object({
-      id: z.string(),
-      failureDomain: z.string(),
-      host: z.string(),
-      peerPort: z.number(),
-      state: z.enum(['alive', 'leaving']),
-    }),
-  ),
+const listSchema = z.object({ instances: z.array(z.unknown()) });
+const instanceSchema = z.object({
+  id: z.string().min(1),
+  failureDomain: z.string(),
+  host: z.string().min(1),
+  peerPort: z.int().min(1).max(65_535),
+  state: z.enum(['alive', 'leaving']),
 });
 
 /** The platform sends progress messages, so a watch without any message for this long is broken. */
@@ -137,7 +134,11 @@
 
   async listInstances(): Promise<readonly InstanceRecord[]> {
     const response = listSchema.parse(await this.call('/instances', {}, 'list'));
-    return response.instances.map((record) => ({
+    // An entry of another writer that names no instance does not hide the others.
+    const records = response.instances.flatMap(
+      (entry) => instanceSchema.safeParse(entry).data ?? [],
+    );
+    return records.map((record) => ({
       ...record,
       id: toBrand<InstanceId>(record.id),
       failureDomain: toBrand<FailureDomainId>(record.failureDomain),
--- a/packages/daemon/src/runtime/metrics.ts
+++ b/packages/daemon/src/runtime/metrics.ts
@@ -42,6 +42,12 @@
     registers: [this.registry],
   });
 
+  readonly settingsInvalid = new Gauge({
+    name: 'heatherledge_settings_invalid_paths',
+    help: 'Paths whose stored value cannot be read or does not match its schema; they have no effect.',
+    registers: [this.registry],
+  });
+
   readonly settingsRevision = new Gauge({
     name: 'heatherledge_settings_revision',
     help: 'Revision of the settings in force.',
--- a/packages/daemon/src/settings/settings-store.ts
+++ b/packages/daemon/src/settings/settings-store.ts
@@ -21,6 +21,7 @@
   HEAD_KEY,
   SETTINGS_PREFIX,
 } from './settings-keys.js';
+import { decodeStoredValue } from './stored-value.js';
 
 export { SETTINGS_PREFIX } from './settings-keys.js';
 
@@ -78,7 +79,7 @@
       .filter(({ key }) => !key.startsWith(DESCRIPTION_PREFIX))
       .map(({ key, value }) => ({
         path: key.slice(SETTINGS_PREFIX.length),
-        value: JSON.parse(value) as unknown,
+        value: decodeStoredValue(value),
       }));
     return { kind: 'state', revision, entries };
   }
@@ -143,8 +144,9 @@
     const removed = stored.flatMap(({ key }) =>
       known.has(key) ? [] : [{ key, value: undefined }],
     );
+    // What cannot be read stays as it is.
     const changed = [...known].flatMap(([key, value]) =>
-      storedValues.get(key) === value ? [] : [{ key, value }],
+      value === 'null' || storedValues.get(key) === value ? [] : [{ key, value }],
     );
     return [...removed, ...changed];
   }
@@ -169,7 +171,7 @@
           .filter(({ key }) => !key.startsWith(DESCRIPTION_PREFIX))
           .map(({ key, value }) => ({
             path: key.slice(SETTINGS_PREFIX.length),
-            value: value === undefined ? undefined : (JSON.parse(value) as unknown),
+            value: value === undefined ? undefined : decodeStoredValue(value),
           }));
         onChange(this.history.toRevision(history, revision), changes);
       },
--- a/packages/daemon/src/settings/settings-writer.ts
+++ b/packages/daemon/src/settings/settings-writer.ts
@@ -8,6 +8,7 @@
   type SettingsState,
   toBrand,
 } from '@heatherledge/core';
+import * as z from 'zod';
 import {
   type ChangeOutcome,
   type ChangeRequest,
@@ -69,12 +70,15 @@
   }
 }
 
+const writersSchema = z.object({ instances: z.array(z.string()) });
+
 /**
  * @param value - value at {@link WRITERS_PATH}
- * @returns instances that may write settings
+ * @returns instances that may write settings; none if there is no such value, or it cannot be read
  */
 export function parseWriters(value: unknown): ReadonlySet<InstanceId> {
-  const instances = (value as { instances?: string[] } | undefined)?.instances ?? [];
+  const parsed = writersSchema.safeParse(value);
+  const instances = parsed.success ? parsed.data.instances : [];
   return new Set(instances.map((id) => toBrand<InstanceId>(id)));
 }
 
