Give the simulation of 195 instances the time that a loaded machine needs

Traced: it computes for 15 s at a load of 20, and its process got a third of a processor (58 s for 25 s of processor time, alone, at a load of 23). What it checks is simulated time and calls of the store; both limits are as before. The real time was no part of the promise, and depended on the machine.

--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -27,6 +27,8 @@
 const OUTAGE_MS = 2000;
 /** Time from the return of the store within which its records must be complete. */
 const RECOVERY_MS = 2000;
+/** Real time for a simulation that computes for 20 s; it promises nothing, as its limits are of simulated time. */
+const SIMULATION_TIMEOUT_MS = 240_000;
 
 const DIRECTORY: FleetDirectory = {
   settingsKey: 'settings',
@@ -323,20 +325,24 @@
     });
 
     /** Load pattern: the store of a large fleet returns, and every instance needs its contents. */
-    it('of 195 instances ends within 2 s and calls the store four times for each', async () => {
-      await startFleet(195, 6);
-      await loseChanges(async () => {
-        putSettings(2);
-        putPrimary(3, 'm2');
-        await fleet.advance(500);
-      });
-      fleet.store.calls = 0;
-      await fleet.advance(RECOVERY_MS);
-      expect(listVersions()).toEqual(new Set([2]));
-      expect(listPrimaries()).toEqual(new Set(['m2']));
-      expect(Math.max(...listAges())).toBeLessThan(1800);
-      expect(fleet.store.calls).toBeLessThan(195 * 4);
-    }, 60_000);
+    it(
+      'of 195 instances ends within 2 s and calls the store four times for each',
+      async () => {
+        await startFleet(195, 6);
+        await loseChanges(async () => {
+          putSettings(2);
+          putPrimary(3, 'm2');
+          await fleet.advance(500);
+        });
+        fleet.store.calls = 0;
+        await fleet.advance(RECOVERY_MS);
+        expect(listVersions()).toEqual(new Set([2]));
+        expect(listPrimaries()).toEqual(new Set(['m2']));
+        expect(Math.max(...listAges())).toBeLessThan(1800);
+        expect(fleet.store.calls).toBeLessThan(195 * 4);
+      },
+      SIMULATION_TIMEOUT_MS,
+    );
   });
 
   describe("the coordinator's lease", () => {
