--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export * from './runtime/gateway-metrics.js';
 export * from './runtime/suspension-aware-clock.js';
 export * from './sessions/caller-session.js';
+export * from './sessions/mutable-caller-state.js';
 export * from './sessions/session-context.js';
 export * from './sessions/transaction.js';
 export * from './settings.js';
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -11,9 +11,9 @@
   WireError,
 } from '../ports/caller-protocol.js';
 import { Admission, type AdmissionServices } from './admission.js';
+import { MutableCallerState } from './mutable-caller-state.js';
 import { ReadExecutor } from './read-executor.js';
 import {
-  type CallerState,
   createErrorReply,
   createLocalReply,
   type DataStatement,
@@ -70,11 +70,7 @@
 
   private key: KeyDigest | undefined;
 
-  private readonly state: CallerState = {
-    values: new Map(),
-    prepared: new Map(),
-    commitPositions: new Map(),
-  };
+  private readonly state = new MutableCallerState();
 
   private transaction: Transaction | undefined;
 
@@ -256,9 +252,9 @@
   private updateState(
     statement: Extract<CallerStatement, { kind: 'set' | 'prepare' | 'deallocate' }>,
   ): StatementReply {
-    const { prepared, values } = this.state;
+    const { prepared } = this.state;
     if (statement.kind === 'set') {
-      this.state.values = new Map(values).set(statement.name, statement.value);
+      this.state.setValue(statement.name, statement.value);
     } else if (statement.kind === 'prepare') {
       prepared.set(statement.name, createPrepared(statement));
     } else if (!prepared.delete(statement.name)) {
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -14,8 +14,6 @@
 
 /** State of a caller's session that outlasts its statements. */
 export interface CallerState extends SessionState {
-  /** Replaced with each SET: statements that still run or wait keep the values they were sent with. */
-  values: ReadonlyMap<string, string>;
   readonly prepared: Map<string, PreparedStatement>;
   /** Log position of the session's last commit in each group. */
   readonly commitPositions: Map<GroupId, TermPosition>;
