--- a/packages/gateway/test/units/restored-store.test.ts
+++ b/packages/gateway/test/units/restored-store.test.ts
@@ -27,7 +27,7 @@
 const OUTAGE_MS = 2000;
 /** Time from the return of the store within which its records must be complete. */
 const RECOVERY_MS = 2000;
-/** Real time for a simulation that computes for 20 s; it promises nothing, as its limits are of simulated time. */
+/** Real time allowed for a simulation that computes for 20 s; its checks are in simulated time. */
 const SIMULATION_TIMEOUT_MS = 240_000;
 
 const DIRECTORY: FleetDirectory = {
