Log the statements that are prepared at members

Cause: the log held nothing of the commands that set up a session's state at a member, so it could not tell a name that is malformed from a name that two definitions share or from commands that arrive in another order.

--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -28,7 +28,12 @@
 /** Delay before a command that a busy member refused is sent again. */
 const BUSY_RETRY_DELAY_MS = 20;
 
-const NOOP_LISTENER: MemberConnectionListener = { onOpen() {}, onClosed() {}, onReply() {} };
+const NOOP_LISTENER: MemberConnectionListener = {
+  onOpen() {},
+  onClosed() {},
+  onReply() {},
+  onPrepare() {},
+};
 
 /**
  * Sends the control commands of a change of primary, over one connection to each member that
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -27,6 +27,9 @@
   readonly resolve: (result: ExchangeResult) => void;
 }
 
+/** Prepares a statement at a member. */
+export type PrepareCommand = Extract<MemberCommand, { kind: 'prepare' }>;
+
 /** Receives the events of a connection. */
 export interface MemberConnectionListener {
   onOpen(connection: MemberConnection): void;
@@ -36,6 +39,8 @@
     connection: MemberConnection,
     exchange: Extract<ExchangeResult, { kind: 'answered' }>,
   ): void;
+  /** Called when a statement is prepared at the member. */
+  onPrepare(connection: MemberConnection, command: PrepareCommand): void;
 }
 
 /** Session values that a member keeps for a connection. */
@@ -192,7 +197,9 @@
     this.values = new Map(session.values);
     if (prepared !== undefined && !this.preparedNames.has(prepared.memberName)) {
       const { memberName: name, access, shape } = prepared;
-      setup.push({ kind: 'prepare', name, access, shape });
+      const command: PrepareCommand = { kind: 'prepare', name, access, shape };
+      setup.push(command);
+      this.listener.onPrepare(this, command);
       this.preparedNames.add(name);
     }
     return setup;
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -12,6 +12,7 @@
   type MemberConnectionListener,
   type ExchangeResult,
   MemberConnection,
+  type PrepareCommand,
   type SessionState,
 } from './member-connection.js';
 import {
@@ -65,6 +66,7 @@
   onReply(entry: MemberEntry, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void;
   onUnreachable(entry: MemberEntry, reason: string): void;
   onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
+  onPrepare(entry: MemberEntry, command: PrepareCommand): void;
 }
 
 /** Limits of a pool. */
@@ -239,6 +241,10 @@
     this.listener.onReply(this.entry, exchange);
   }
 
+  onPrepare(_: MemberConnection, command: PrepareCommand): void {
+    this.listener.onPrepare(this.entry, command);
+  }
+
   onClosed(connection: MemberConnection, error: WireError | undefined): void {
     const wasOpening = this.removeOpening(connection);
     this.busy.delete(connection);
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -18,7 +18,7 @@
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
-import type { ExchangeResult } from './member-connection.js';
+import type { ExchangeResult, PrepareCommand } from './member-connection.js';
 import { MemberPool, type PoolLimits, type PoolListener } from './member-pool.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
@@ -215,6 +215,10 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
+  onPrepare(entry: MemberEntry, { name, access, shape }: PrepareCommand): void {
+    this.log.info('member.prepare', { member: entry.id, name, access, shape });
+  }
+
   /** @returns the members' part of the state dump */
   describe(): unknown {
     return [...this.states.values()].map(({ entry, pool, slotGate, reportedPosition }) => ({
--- a/packages/gateway/test/units/member-connection-limit.test.ts
+++ b/packages/gateway/test/units/member-connection-limit.test.ts
@@ -101,6 +101,7 @@
     const listener = {
       onReply() {},
       onUnreachable() {},
+      onPrepare() {},
       onConnection(outcome: string) {
         if (outcome === 'opened') opened += 1;
       },
--- a/packages/gateway/test/units/member-pool.test.ts
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -22,7 +22,7 @@
   incarnation: 1,
 };
 
-const LISTENER = { onReply() {}, onUnreachable() {}, onConnection() {} };
+const LISTENER = { onReply() {}, onUnreachable() {}, onConnection() {}, onPrepare() {} };
 
 function createRequest(
   organisation: string,
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -59,7 +59,7 @@
   beforeEach(async () => {
     connector = new FakeConnector();
     const clock = new ManualClock(1000);
-    const listener = { onReply() {}, onUnreachable() {}, onConnection() {} };
+    const listener = { onReply() {}, onUnreachable() {}, onConnection() {}, onPrepare() {} };
     pool = new MemberPool(
       ENTRY,
       connector,
