Name prepared statements at members without their shape

Cause: the name at a member was built as ACCESS_SHAPE. A shape is the last field of PREPARE and may hold blanks; the member took the first word as the name and the rest as other fields, of the PREPARE and of each EXECUTE. 'q# WRITE kb' became name 'write_q#' with the shape 'kb WRITE q# WRITE kb', and another caller's 'q#' on that connection was taken as prepared already. The name also grew a statement past the limit of a message, and nothing bounded the statements of a connection. Class: a text that someone else chooses inside a text with a grammar of its own. Change: a connection gives each definition a name of one character (PreparedNames), found by a digest of access and shape. With all 62 in use, the statement that was not used for longest is removed first. The text after the name is passed on byte for byte. On links between instances the name is the digest, so that a host of an earlier version prepares it under one word; a statement of an earlier version is prepared anew under a name of this one. Why it works: no part of a caller's text is in a name, so its blanks, length and words mean nothing there; a definition is found by its digest only; one character is never longer than the name that the caller sent. The test of a caller's EXECUTE now expects the blank before its arguments, since they are kept exactly: as strict as before.

--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -39,6 +39,7 @@
 const statement = {
   request: z.string(),
   text: z.string(),
+  /** Statement that the text executes by this name. */
   prepared: z
     .object({ name: z.string(), access: z.enum(['read', 'write']), shape: z.string() })
     .optional(),
--- a/packages/gateway/src/hosting/host-messages.ts
+++ b/packages/gateway/src/hosting/host-messages.ts
@@ -9,12 +9,12 @@
   toBrand,
 } from '@heatherledge/core';
 import type { PeerBody, PeerBodyOf } from '@heatherledge/daemon';
-import type { ExchangeResult, PreparedStatement } from '../members/member-connection.js';
+import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
+import { createPreparedStatement } from '../members/prepared-statement.js';
 import {
   type AccessRefusal,
   type ConnectionRequest,
   createRefusal,
-  type MemberStatement,
   type StatementResult,
 } from './member-access.js';
 
@@ -60,24 +60,42 @@
   };
 }
 
-/** Encodes a statement. */
+/**
+ * Encodes a statement. A prepared one is named by its digest, since hosts of earlier versions prepare it
+ * under the name in the message and forward the text as it is.
+ */
 export function encodeStatement({ requestId, text, prepared }: MemberStatement): EncodedStatement {
-  const encoded = prepared && {
-    name: prepared.memberName,
-    access: prepared.access,
-    shape: prepared.shape,
+  if (prepared === undefined) return { request: requestId, text };
+  const { access, shape, digest: name } = prepared;
+  return {
+    request: requestId,
+    text: `${formatExecute(name)}${text}`,
+    prepared: { name, access, shape },
   };
-  return { request: requestId, text, prepared: encoded };
 }
 
-/** Decodes a statement. */
-export function decodeStatement({ request, text, prepared }: EncodedStatement): MemberStatement {
-  const decoded: PreparedStatement | undefined = prepared && {
-    memberName: prepared.name,
-    access: prepared.access,
-    shape: prepared.shape,
+/**
+ * Decodes a statement.
+ *
+ * @returns the statement, or undefined if its text does not execute the statement that it names
+ */
+export function decodeStatement({
+  request,
+  text,
+  prepared,
+}: EncodedStatement): MemberStatement | undefined {
+  if (prepared === undefined) return { requestId: request, text, prepared };
+  const prefix = formatExecute(prepared.name);
+  if (!text.startsWith(prefix)) return undefined;
+  return {
+    requestId: request,
+    text: text.slice(prefix.length),
+    prepared: createPreparedStatement(prepared.access, prepared.shape),
   };
-  return { requestId: request, text, prepared: decoded };
+}
+
+function formatExecute(name: string): string {
+  return `EXECUTE ${name}`;
 }
 
 /**
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,5 +1,9 @@
 import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
-import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
+import type {
+  ExchangeResult,
+  MemberConnection,
+  MemberStatement,
+} from '../members/member-connection.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
@@ -11,7 +15,6 @@
   type ConnectionRequest,
   createRefusal,
   type MemberAccess,
-  type MemberStatement,
   type MemberTransaction,
   type StatementRequest,
   type StatementResult,
@@ -81,7 +84,6 @@
     const { pool, connection } = acquired;
     const result = await connection.exchangeInSession(
       { values: request.values },
-      undefined,
       { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
       request.timeoutMs - (this.clock.now() - startedAt),
     );
@@ -113,11 +115,10 @@
     const acquired = await this.acquire({ ...request, timeoutMs }, check);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
-    const { requestId, text, prepared } = request.statement;
-    const result = await connection.exchangeInSession(
+    const result = await connection.runInSession(
       { values: request.values },
-      prepared,
-      { kind: 'forward', requestId, text, waitFor: request.waitFor },
+      request.statement,
+      request.waitFor,
       request.timeoutMs - (this.clock.now() - startedAt),
     );
     pool.release(connection);
@@ -213,7 +214,7 @@
   }
 
   private async runInSlot(
-    { requestId, text, prepared }: MemberStatement,
+    statement: MemberStatement,
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
   ): Promise<ExchangeResult> {
@@ -221,12 +222,7 @@
     if (this.isEnded) {
       return { kind: 'lost', reason: 'the transaction has ended', wasSent: false };
     }
-    return this.connection.exchangeInSession(
-      { values },
-      prepared,
-      { kind: 'forward', requestId, text, waitFor: undefined },
-      timeoutMs,
-    );
+    return this.connection.runInSession({ values }, statement, undefined, timeoutMs);
   }
 
   end(): void {
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -1,6 +1,6 @@
 import type { MemberId, TermPosition } from '@heatherledge/core';
 import type { AcquireFailure } from '../members/connection-wait-queue.js';
-import type { ExchangeResult, PreparedStatement } from '../members/member-connection.js';
+import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
 import type { Access, ErrorCode } from '../ports/caller-protocol.js';
 import type { Credentials } from '../sessions/grants.js';
 
@@ -20,13 +20,6 @@
   readonly waitFor: TermPosition | undefined;
 }
 
-/** A statement as it is sent to a member. */
-export interface MemberStatement {
-  readonly requestId: string;
-  readonly text: string;
-  readonly prepared: PreparedStatement | undefined;
-}
-
 /** A statement outside transactions. */
 export interface StatementRequest extends ConnectionRequest {
   readonly access: Access;
--- a/packages/gateway/src/hosting/member-host-server.ts
+++ b/packages/gateway/src/hosting/member-host-server.ts
@@ -4,7 +4,12 @@
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { EventLog } from '../runtime/event-log.js';
 import { decodeConnectionRequest, decodeStatement, encodeResult } from './host-messages.js';
-import type { MemberAccess, MemberTransaction, StatementResult } from './member-access.js';
+import {
+  createRefusal,
+  type MemberAccess,
+  type MemberTransaction,
+  type StatementResult,
+} from './member-access.js';
 
 /**
  * Added to the idle timeout of transactions, which the instance with the caller's session enforces;
@@ -15,6 +20,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 3000;
 const DRAIN_CHECK_INTERVAL_MS = 20;
 
+const UNDECODABLE_STATEMENT = createRefusal('closed', 'busy', 'the host cannot read the statement');
+
 type MemberResult = PeerBodyOf<'member.result'>;
 
 /** A transaction that another instance runs here. */
@@ -91,6 +98,7 @@
   private async runStatement(body: PeerBodyOf<'statement.run'>): Promise<MemberResult> {
     const request = decodeConnectionRequest(body);
     const statement = decodeStatement(body);
+    if (statement === undefined) return this.encode(UNDECODABLE_STATEMENT, request.member);
     const result = await this.access.run({ ...request, access: body.access, statement });
     return this.encode(result, request.member);
   }
@@ -140,12 +148,10 @@
       const result = { kind: 'lost' as const, reason: 'the transaction is over', wasSent: false };
       return encodeResult(result, 0);
     }
+    const statement = decodeStatement(body);
+    if (statement === undefined) return this.encode(UNDECODABLE_STATEMENT, hosted.member);
     clearTimeout(hosted.idleTimer);
-    const result = await hosted.transaction.run(
-      decodeStatement(body),
-      new Map(body.values),
-      body.timeoutMs,
-    );
+    const result = await hosted.transaction.run(statement, new Map(body.values), body.timeoutMs);
     if (!hosted.isEnded) this.startIdleTimer(hosted, link, body.transaction);
     return this.encode(result, hosted.member);
   }
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -1,6 +1,6 @@
 import type { Clock, InstanceId } from '@heatherledge/core';
 import { MEMBER_HOSTING_FEATURE, type PeerBody, type PeerHub } from '@heatherledge/daemon';
-import type { ExchangeResult } from '../members/member-connection.js';
+import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import {
@@ -15,7 +15,6 @@
   type BeginResult,
   createRefusal,
   type MemberAccess,
-  type MemberStatement,
   type MemberTransaction,
   type StatementRequest,
   type StatementResult,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,8 @@
 export * from './members/member-registry.js';
 export * from './members/member-connection.js';
 export * from './members/member-pool.js';
+export * from './members/prepared-names.js';
+export * from './members/prepared-statement.js';
 export * from './members/primary-tracker.js';
 export * from './members/sample-exchange.js';
 export * from './members/connection-wait-queue.js';
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
+import type { Clock, Milliseconds, OrganisationId, TermPosition } from '@heatherledge/core';
 import type { TransactionState, WireError } from '../ports/caller-protocol.js';
 import type {
   MemberChannel,
@@ -8,6 +8,8 @@
   MemberReply,
   MemberTarget,
 } from '../ports/member-protocol.js';
+import { PreparedNames } from './prepared-names.js';
+import type { PreparedStatement } from './prepared-statement.js';
 
 /** How a command to a member ended. */
 export type ExchangeResult =
@@ -48,11 +50,12 @@
   readonly values: ReadonlyMap<string, string>;
 }
 
-/** A prepared statement under the name that all sessions share at members. */
-export interface PreparedStatement {
-  readonly memberName: string;
-  readonly access: 'read' | 'write';
-  readonly shape: string;
+/** A caller's read, write or commit as it is sent to a member. */
+export interface MemberStatement {
+  readonly requestId: string;
+  /** The statement as received; for a prepared one the text after its name, with the blank before it. */
+  readonly text: string;
+  readonly prepared: PreparedStatement | undefined;
 }
 
 /** One connection to a member: sends commands and matches the replies to them. */
@@ -75,7 +78,7 @@
 
   private values: ReadonlyMap<string, string> = new Map();
 
-  private readonly preparedNames = new Set<string>();
+  private readonly preparedNames = new PreparedNames();
 
   constructor(
     connector: MemberConnector,
@@ -110,24 +113,48 @@
   }
 
   /**
-   * Sends a statement, preceded by the commands that set up the session's state at the member.
+   * Sends a command, preceded by the commands that set up the session's values at the member.
    *
    * @param session - values that the member must have
-   * @param prepared - statement that must be prepared, if any
-   * @param command - the statement
+   * @param command - the command
    * @param timeoutMs - maximum wait, in milliseconds
-   * @returns how the statement ended
+   * @returns how the command ended
    */
   async exchangeInSession(
     session: SessionState,
-    prepared: PreparedStatement | undefined,
     command: MemberCommand,
     timeoutMs: number,
   ): Promise<ExchangeResult> {
-    for (const setup of this.createSetup(session, prepared)) this.sendSetup(setup);
+    for (const setup of this.createSetup(session)) this.sendSetup(setup);
     return this.exchange(command, timeoutMs);
   }
 
+  /**
+   * Sends a caller's statement, preceded by the commands that set up the session's values and prepare
+   * the statement at the member.
+   *
+   * @param session - values that the member must have
+   * @param statement - the statement
+   * @param waitFor - log position that the member must have reached, if any
+   * @param timeoutMs - maximum wait, in milliseconds
+   * @returns how the statement ended
+   */
+  async runInSession(
+    session: SessionState,
+    { requestId, text, prepared }: MemberStatement,
+    waitFor: TermPosition | undefined,
+    timeoutMs: number,
+  ): Promise<ExchangeResult> {
+    if (prepared === undefined) {
+      const command: MemberCommand = { kind: 'forward', requestId, text, waitFor };
+      return this.exchangeInSession(session, command, timeoutMs);
+    }
+    // The values come first: a reset also removes the prepared statements.
+    for (const setup of this.createSetup(session)) this.sendSetup(setup);
+    const name = this.prepare(prepared);
+    return this.exchange({ kind: 'execute', requestId, name, args: text, waitFor }, timeoutMs);
+  }
+
   /** @returns whether the values at the member are those of the session */
   hasValues(session: SessionState): boolean {
     if (session.values.size !== this.values.size) return false;
@@ -179,11 +206,8 @@
     this.listener.onClosed(this, error);
   }
 
-  /** Creates the commands that set up the session's state, and records that state as set up. */
-  private createSetup(
-    session: SessionState,
-    prepared: PreparedStatement | undefined,
-  ): MemberCommand[] {
+  /** Creates the commands that set up the session's values, and records the values as set up. */
+  private createSetup(session: SessionState): MemberCommand[] {
     const setup: MemberCommand[] = [];
     const needsReset = [...this.values.keys()].some((name) => !session.values.has(name));
     if (needsReset) {
@@ -195,16 +219,19 @@
       if (this.values.get(name) !== value) setup.push({ kind: 'set', name, value });
     }
     this.values = new Map(session.values);
-    if (prepared !== undefined && !this.preparedNames.has(prepared.memberName)) {
-      const { memberName: name, access, shape } = prepared;
-      const command: PrepareCommand = { kind: 'prepare', name, access, shape };
-      setup.push(command);
-      this.listener.onPrepare(this, command);
-      this.preparedNames.add(name);
-    }
     return setup;
   }
 
+  /** Prepares a statement unless the member has it, and returns its name at the member. */
+  private prepare(prepared: PreparedStatement): string {
+    const { name, setup } = this.preparedNames.resolve(prepared);
+    for (const command of setup) {
+      if (command.kind === 'prepare') this.listener.onPrepare(this, command);
+      this.sendSetup(command);
+    }
+    return name;
+  }
+
   /**
    * Sends a command that sets up the session's state. The connection is dropped if it fails, since the
    * state is then unknown.
--- /dev/null
+++ b/packages/gateway/src/members/prepared-statement.ts
@@ -0,0 +1,23 @@
+import { createHash } from 'node:crypto';
+import type { Access } from '../ports/caller-protocol.js';
+
+/** A statement that a caller has prepared, whatever name it has there. */
+export interface PreparedStatement {
+  readonly access: Access;
+  /** Definition of the statement, forwarded unchanged. */
+  readonly shape: string;
+  /** Identifies access and shape; of the same length for each. */
+  readonly digest: string;
+}
+
+/**
+ * Creates a prepared statement.
+ *
+ * @param access - whether it reads or writes
+ * @param shape - its definition
+ */
+export function createPreparedStatement(access: Access, shape: string): PreparedStatement {
+  // An access holds no blank, so two definitions never give the same input.
+  const digest = createHash('sha256').update(`${access} ${shape}`).digest('base64url');
+  return { access, shape, digest };
+}
--- a/packages/gateway/src/ports/caller-protocol.ts
+++ b/packages/gateway/src/ports/caller-protocol.ts
@@ -18,7 +18,10 @@
       /** Definition of the statement, forwarded unchanged. */
       readonly shape: string;
     }
-  /** Runs a prepared statement; `args` is the text after its name, forwarded unchanged. */
+  /**
+   * Runs a prepared statement; `args` is the text after its name, with the blank before it, forwarded
+   * unchanged.
+   */
   | { readonly kind: 'execute'; readonly name: string; readonly args: string }
   | { readonly kind: 'deallocate'; readonly name: string };
 
--- a/packages/gateway/src/ports/member-protocol.ts
+++ b/packages/gateway/src/ports/member-protocol.ts
@@ -18,6 +18,15 @@
       /** The member refuses the command unless its log holds this position. */
       readonly waitFor: TermPosition | undefined;
     }
+  /** Runs a statement that is prepared on the connection, with the caller's request id. */
+  | {
+      readonly kind: 'execute';
+      readonly requestId: string;
+      readonly name: string;
+      /** The text after the name, with the blank before it; forwarded unchanged. */
+      readonly args: string;
+      readonly waitFor: TermPosition | undefined;
+    }
   | {
       readonly kind: 'begin';
       readonly readOnly: boolean;
@@ -34,6 +43,7 @@
       /** Definition of the statement, forwarded unchanged. */
       readonly shape: string;
     }
+  | { readonly kind: 'deallocate'; readonly name: string }
   | { readonly kind: 'status' }
   /** Makes a replica receive no more log entries until it is resumed, promoted or restarted. */
   | { readonly kind: 'pause'; readonly term: Term }
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,5 +1,5 @@
 import { type Clock, createKeyDigest, type KeyDigest, type Milliseconds } from '@heatherledge/core';
-import type { PreparedStatement } from '../members/member-connection.js';
+import { createPreparedStatement } from '../members/prepared-statement.js';
 import type {
   CallerChannel,
   CallerHandler,
@@ -42,14 +42,6 @@
 
 type QueryMessage = Extract<CallerMessage, { kind: 'query' }>;
 
-/**
- * Formats the name under which members prepare a statement; sessions that prepare a statement of
- * the same shape share the name.
- */
-function formatMemberName(access: string, shape: string): string {
-  return `${access}_${shape}`;
-}
-
 /** Handles one caller's messages in order and sends a reply to each; holds the session's state. */
 export class CallerSession implements CallerHandler {
   private readonly queue: QueuedMessage[] = [];
@@ -256,7 +248,7 @@
     if (statement.kind === 'set') {
       this.state.setValue(statement.name, statement.value);
     } else if (statement.kind === 'prepare') {
-      prepared.set(statement.name, createPrepared(statement));
+      prepared.set(statement.name, createPreparedStatement(statement.access, statement.shape));
     } else if (!prepared.delete(statement.name)) {
       return this.createRefusal('unknown-name', 'no prepared statement has this name');
     }
@@ -272,8 +264,8 @@
     if (prepared === undefined) {
       return this.createRefusal('unknown-name', 'no prepared statement has this name');
     }
-    const text = `EXECUTE ${prepared.memberName} ${statement.args}`;
-    return this.execute({ requestId, access: prepared.access, text, prepared, arrivedAt });
+    const { access } = prepared;
+    return this.execute({ requestId, access, text: statement.args, prepared, arrivedAt });
   }
 
   private async execute(statement: DataStatement): Promise<StatementReply> {
@@ -346,10 +338,3 @@
     else log.warn('statement.refused', { ...fields, reason: reply.error.text });
   }
 }
-
-function createPrepared(
-  statement: Extract<CallerStatement, { kind: 'prepare' }>,
-): PreparedStatement {
-  const { access, shape } = statement;
-  return { memberName: formatMemberName(access, shape), access, shape };
-}
--- a/packages/gateway/src/sessions/mutable-caller-state.ts
+++ b/packages/gateway/src/sessions/mutable-caller-state.ts
@@ -1,5 +1,5 @@
 import type { GroupId, TermPosition } from '@heatherledge/core';
-import type { PreparedStatement } from '../members/member-connection.js';
+import type { PreparedStatement } from '../members/prepared-statement.js';
 import type { CallerState } from './session-context.js';
 
 /** State of a caller's session; statements that still run or wait keep the values they were sent with. */
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -1,6 +1,7 @@
 import type { Clock, GroupId, Milliseconds, ReadPlacement, TermPosition } from '@heatherledge/core';
 import type { ConnectionRequest, MemberAccess } from '../hosting/member-access.js';
-import type { PreparedStatement, SessionState } from '../members/member-connection.js';
+import type { MemberStatement, SessionState } from '../members/member-connection.js';
+import type { PreparedStatement } from '../members/prepared-statement.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type {
   Access,
@@ -20,11 +21,8 @@
 }
 
 /** A read or write that a member runs. */
-export interface DataStatement {
-  readonly requestId: string;
+export interface DataStatement extends MemberStatement {
   readonly access: Access;
-  readonly text: string;
-  readonly prepared: PreparedStatement | undefined;
   /** When the statement's first byte arrived. */
   readonly arrivedAt: Milliseconds;
 }
--- a/packages/gateway/test/units/member-pool.test.ts
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -7,7 +7,12 @@
   toBrand,
 } from '@heatherledge/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { type AcquireResult, type AcquireRequest, MemberPool } from '../../src/index.js';
+import {
+  type AcquireResult,
+  type AcquireRequest,
+  createPreparedStatement,
+  MemberPool,
+} from '../../src/index.js';
 import { EMPTY_REPLY, FakeConnector } from '../fixtures/fake-connector.js';
 
 const ENTRY: MemberEntry = {
@@ -199,19 +204,14 @@
     it('sends values and prepared statements before the statement that needs them', async () => {
       const { connection } = await acquireConnection('a');
       const session = { values: new Map([['zone', 'x']]) };
-      const prepared = { memberName: 'read_q', access: 'read' as const, shape: 'q' };
-      const command = {
-        kind: 'forward' as const,
-        requestId: '1',
-        text: 'EXECUTE read_q 1',
-        waitFor: undefined,
-      };
-      void connection.exchangeInSession(session, prepared, command, 1000);
+      const prepared = createPreparedStatement('read', 'q');
+      const statement = { requestId: '1', text: ' 1', prepared };
+      void connection.runInSession(session, statement, undefined, 1000);
       const [channel] = connector.channels;
-      expect(channel?.commands.map(({ kind }) => kind)).toEqual(['set', 'prepare', 'forward']);
+      expect(channel?.commands.map(({ kind }) => kind)).toEqual(['set', 'prepare', 'execute']);
       for (let reply = 0; reply < 3; reply += 1) channel?.handler.onReply(EMPTY_REPLY);
-      void connection.exchangeInSession(session, prepared, command, 1000);
-      expect(channel?.commands.slice(3).map(({ kind }) => kind)).toEqual(['forward']);
+      void connection.runInSession(session, statement, undefined, 1000);
+      expect(channel?.commands.slice(3).map(({ kind }) => kind)).toEqual(['execute']);
     });
 
     it('resets values that the next session does not have', async () => {
@@ -222,13 +222,8 @@
         text: 'READ 1',
         waitFor: undefined,
       };
-      void connection.exchangeInSession(
-        { values: new Map([['z', '1']]) },
-        undefined,
-        command,
-        1000,
-      );
-      void connection.exchangeInSession({ values: new Map() }, undefined, command, 1000);
+      void connection.exchangeInSession({ values: new Map([['z', '1']]) }, command, 1000);
+      void connection.exchangeInSession({ values: new Map() }, command, 1000);
       const kinds = connector.channels[0]?.commands.map(({ kind }) => kind);
       expect(kinds).toEqual(['set', 'forward', 'reset', 'forward']);
     });
@@ -243,7 +238,6 @@
       };
       const exchange = connection.exchangeInSession(
         { values: new Map([['z', '1']]) },
-        undefined,
         command,
         1000,
       );
