Keep up to 318 prepared statements on a connection to a member

Cause: with one letter for each name a connection keeps 62 statements. Change: callers whose name is longer than one letter get names of two letters, of which a connection keeps 256; the others share 62 names of one letter, so that no name is longer than the caller's. The length of the caller's name is sent to the member's host; a message without it, of an earlier version, gets one letter.

--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -41,7 +41,13 @@
   text: z.string(),
   /** Statement that the text executes by this name. */
   prepared: z
-    .object({ name: z.string(), access: z.enum(['read', 'write']), shape: z.string() })
+    .object({
+      name: z.string(),
+      access: z.enum(['read', 'write']),
+      shape: z.string(),
+      /** Length of the caller's name; absent in messages of earlier versions. */
+      maxNameLength: z.number().optional(),
+    })
     .optional(),
 };
 
--- a/packages/gateway/src/hosting/host-messages.ts
+++ b/packages/gateway/src/hosting/host-messages.ts
@@ -66,11 +66,11 @@
  */
 export function encodeStatement({ requestId, text, prepared }: MemberStatement): EncodedStatement {
   if (prepared === undefined) return { request: requestId, text };
-  const { access, shape, digest: name } = prepared;
+  const { access, shape, maxNameLength, digest: name } = prepared;
   return {
     request: requestId,
     text: `${formatExecute(name)}${text}`,
-    prepared: { name, access, shape },
+    prepared: { name, access, shape, maxNameLength },
   };
 }
 
@@ -87,10 +87,11 @@
   if (prepared === undefined) return { requestId: request, text, prepared };
   const prefix = formatExecute(prepared.name);
   if (!text.startsWith(prefix)) return undefined;
+  const { access, shape, maxNameLength = 1 } = prepared;
   return {
     requestId: request,
     text: text.slice(prefix.length),
-    prepared: createPreparedStatement(prepared.access, prepared.shape),
+    prepared: createPreparedStatement(access, shape, maxNameLength),
   };
 }
 
--- a/packages/gateway/src/members/prepared-names.ts
+++ b/packages/gateway/src/members/prepared-names.ts
@@ -1,59 +1,79 @@
 import type { MemberCommand } from '../ports/member-protocol.js';
 import type { PreparedStatement } from './prepared-statement.js';
 
-/**
- * Names of statements at a member. One character each, so that a statement is never longer with its name
- * at the member than with the name that its caller chose.
- */
-const NAMES = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789';
+const LETTERS = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789';
+const ONE_LETTER_NAMES = [...LETTERS];
+/** Statements that stay prepared on a connection under names of two letters. */
+const TWO_LETTER_NAME_COUNT = 256;
+const TWO_LETTER_NAMES = Array.from(
+  { length: TWO_LETTER_NAME_COUNT },
+  (_, index) => `${LETTERS[Math.floor(index / LETTERS.length)]}${LETTERS[index % LETTERS.length]}`,
+);
 
 /** Maximum number of statements that stay prepared on one connection. */
-export const MAX_PREPARED_STATEMENTS = NAMES.length;
+export const MAX_PREPARED_STATEMENTS = ONE_LETTER_NAMES.length + TWO_LETTER_NAMES.length;
 
-/** The name of a statement, and the commands that prepare it under that name. */
+/** The name of a statement at a member, and the commands that prepare it under that name. */
 export interface NamedStatement {
   readonly name: string;
   readonly setup: readonly MemberCommand[];
 }
 
-/**
- * Gives names to the statements that are prepared on one connection. Names say nothing about the
- * statement; once all are in use, the statement that was not used for longest is removed.
- */
-export class PreparedNames {
+/** Names of one length; once all are in use, the one that was not used for longest is given again. */
+class NamePool {
   /** Names by digest of the statement, the least recently used first. */
-  private readonly names = new Map<string, string>();
+  private readonly used = new Map<string, string>();
 
-  /**
-   * @param statement - statement that is to run
-   * @returns its name, and the commands that must precede it
-   */
-  resolve(statement: PreparedStatement): NamedStatement {
-    const { digest, access, shape } = statement;
-    const known = this.names.get(digest);
-    this.names.delete(digest);
+  constructor(private readonly names: readonly string[]) {}
+
+  resolve({ digest, access, shape }: PreparedStatement): NamedStatement {
+    const known = this.used.get(digest);
     if (known !== undefined) {
-      this.names.set(digest, known);
+      this.used.delete(digest);
+      this.used.set(digest, known);
       return { name: known, setup: [] };
     }
-    const unused = NAMES[this.names.size];
+    const unused = this.names[this.used.size];
     const name = unused ?? this.removeOldest();
-    this.names.set(digest, name);
+    this.used.set(digest, name);
     const prepare: MemberCommand = { kind: 'prepare', name, access, shape };
     const isTaken = unused === undefined;
     return { name, setup: isTaken ? [{ kind: 'deallocate', name }, prepare] : [prepare] };
   }
 
-  /** Forgets all names, as the member does when the connection is reset. */
   clear(): void {
-    this.names.clear();
+    this.used.clear();
   }
 
   private removeOldest(): string {
-    const [oldest] = this.names;
+    const [oldest] = this.used;
     if (oldest === undefined) throw new Error('no statement is prepared');
     const [digest, name] = oldest;
-    this.names.delete(digest);
+    this.used.delete(digest);
     return name;
   }
 }
+
+/**
+ * Gives names to the statements that are prepared on one connection. Names say nothing about the
+ * statement, and are no longer than the names that callers chose.
+ */
+export class PreparedNames {
+  private readonly short = new NamePool(ONE_LETTER_NAMES);
+
+  private readonly long = new NamePool(TWO_LETTER_NAMES);
+
+  /**
+   * @param statement - statement that is to run
+   * @returns its name, and the commands that must precede it
+   */
+  resolve(statement: PreparedStatement): NamedStatement {
+    return (statement.maxNameLength > 1 ? this.long : this.short).resolve(statement);
+  }
+
+  /** Forgets all names, as the member does when the connection is reset. */
+  clear(): void {
+    this.short.clear();
+    this.long.clear();
+  }
+}
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -248,7 +248,8 @@
     if (statement.kind === 'set') {
       this.state.setValue(statement.name, statement.value);
     } else if (statement.kind === 'prepare') {
-      prepared.set(statement.name, createPreparedStatement(statement.access, statement.shape));
+      const { name, access, shape } = statement;
+      prepared.set(name, createPreparedStatement(access, shape, name.length));
     } else if (!prepared.delete(statement.name)) {
       return this.createRefusal('unknown-name', 'no prepared statement has this name');
     }
