--- a/packages/gateway/src/failover/failover-tasks.ts
+++ b/packages/gateway/src/failover/failover-tasks.ts
@@ -48,11 +48,9 @@
     const { confirmationTtlMs, metrics, clock, random, log } = services;
     const { primaryTracker } = memberRegistry;
     const lease = new CoordinatorLease(self, store, view, clock, random, log);
-    const control = new MemberControl(
-      connector,
-      clock,
-      () => view.settings?.organisations.keys().next().value,
-    );
+    const control = new MemberControl(connector, clock, () => [
+      ...(view.settings?.organisations.keys() ?? []),
+    ]);
     this.lease = lease;
     this.control = control;
     const changeServices = { self, clock, view, store, lease, control, promotions, hub };
--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -5,7 +5,12 @@
   type Term,
 } from '@heatherledge/core';
 import { type MemberConnectionListener, MemberConnection } from '../members/member-connection.js';
-import type { MemberCommand, MemberConnector, MemberStatus } from '../ports/member-protocol.js';
+import type {
+  MemberCommand,
+  MemberConnector,
+  MemberStatus,
+  MemberTarget,
+} from '../ports/member-protocol.js';
 
 /** A control command to which a member replies with its status. */
 export type ControlCommand = Extract<
@@ -45,12 +50,12 @@
   /**
    * @param connector - opens connections to members
    * @param clock - clock of this instance
-   * @param chooseOrganisation - returns an organisation in whose name connections are opened
+   * @param listOrganisations - returns the organisations in whose names connections may be opened
    */
   constructor(
     private readonly connector: MemberConnector,
     private readonly clock: Clock,
-    private readonly chooseOrganisation: () => OrganisationId | undefined,
+    private readonly listOrganisations: () => readonly OrganisationId[],
   ) {}
 
   /**
@@ -110,9 +115,21 @@
     const key = `${entry.id}/${entry.incarnation}`;
     const existing = this.connections.get(key);
     if (existing !== undefined && !existing.isClosed) return existing;
-    const target = { entry, group: entry.group, organisation: this.chooseOrganisation() };
+    const targets = this.listOrganisations().map((organisation) =>
+      createTarget(entry, organisation),
+    );
+    const target =
+      targets.find((candidate) => this.connector.mayOpen(candidate)) ??
+      createTarget(entry, undefined);
     const connection = new MemberConnection(this.connector, target, NOOP_LISTENER, this.clock);
     this.connections.set(key, connection);
     return connection;
   }
 }
+
+function createTarget(
+  entry: MemberEndpoint,
+  organisation: OrganisationId | undefined,
+): MemberTarget {
+  return { entry, group: entry.group, organisation };
+}
--- a/packages/gateway/src/members/connection-wait-queue.ts
+++ b/packages/gateway/src/members/connection-wait-queue.ts
@@ -7,6 +7,19 @@
  */
 const MAX_OVERTAKING_MS = 100;
 
+/** A request for a connection. */
+export interface AcquireRequest {
+  readonly organisation: OrganisationId | undefined;
+  /** An idle connection that already has this session's values is preferred. */
+  readonly session: SessionState;
+  /** Maximum wait, in milliseconds. */
+  readonly waitMs: number;
+  /** The request is refused at once if its estimated wait is longer, in milliseconds. */
+  readonly maxEstimatedWaitMs: number;
+  /** Lower values are served first; 0 is the most urgent. */
+  readonly priority: number;
+}
+
 /** How a request for a connection ended. */
 export type AcquireResult =
   | { readonly kind: 'connection'; readonly connection: MemberConnection }
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -16,25 +16,13 @@
   type SessionState,
 } from './member-connection.js';
 import {
+  type AcquireRequest,
   type AcquireResult,
   type AcquireFailure,
   type Waiter,
   ConnectionWaitQueue,
 } from './connection-wait-queue.js';
 
-/** A request for a connection. */
-export interface AcquireRequest {
-  readonly organisation: OrganisationId | undefined;
-  /** An idle connection that already has this session's values is preferred. */
-  readonly session: SessionState;
-  /** Maximum wait, in milliseconds. */
-  readonly waitMs: number;
-  /** The request is refused at once if its estimated wait is longer, in milliseconds. */
-  readonly maxEstimatedWaitMs: number;
-  /** Lower values are served first; 0 is the most urgent. */
-  readonly priority: number;
-}
-
 /** Allows for a round trip between regions, the handshake and a short queue. */
 const CONNECTION_OPEN_TIMEOUT_MS = 500;
 /**
@@ -150,6 +138,7 @@
     const { organisation, session, waitMs, maxEstimatedWaitMs, priority } = request;
     const connection = this.takeIdle(organisation, session);
     if (connection !== undefined) return { kind: 'connection', connection };
+    if (!this.mayOpen(organisation)) return { kind: 'refused', reason: 'closed' };
     const index = this.queue.findInsertIndex(priority);
     const estimatedWaitMs = this.waitEstimator.estimateWait(index, this.clock.now());
     if (index >= this.limits.maxWaiting || estimatedWaitMs > Math.min(waitMs, maxEstimatedWaitMs)) {
@@ -254,6 +243,12 @@
     else this.serveQueue();
   }
 
+  /** An attempt to open a connection would fail, and make the member look unreachable to all. */
+  private mayOpen(organisation: OrganisationId | undefined): boolean {
+    const { entry } = this;
+    return this.connector.mayOpen({ entry, group: entry.group, organisation });
+  }
+
   private handleOpenFailure(error: WireError | undefined): void {
     const isAtLimit = error?.code === 'connection-limit';
     this.listener.onConnection(isAtLimit ? 'refused' : 'failed');
--- a/packages/gateway/src/ports/member-protocol.ts
+++ b/packages/gateway/src/ports/member-protocol.ts
@@ -104,6 +104,8 @@
 /** Opens connections to members. */
 export interface MemberConnector {
   open(target: MemberTarget, handler: MemberHandler): MemberChannel;
+  /** @returns whether the protocol can express the names of a target; opening it fails otherwise */
+  mayOpen(target: MemberTarget): boolean;
   /**
    * Decodes the reply to a `status` command.
    *
--- a/packages/gateway/test/units/member-connection-limit.test.ts
+++ b/packages/gateway/test/units/member-connection-limit.test.ts
@@ -68,6 +68,10 @@
     return { send() {}, close: () => finish(false), destroy: () => finish(false) };
   }
 
+  mayOpen(): boolean {
+    return true;
+  }
+
   decodeStatus(): undefined {
     return undefined;
   }
