Run reads that are too long for a log position at the primary

What callers saw: a read of exactly the allowed length was sent to replicas with a log position before its text, and was longer than a message may be. A member that drops such a connection loses the other statements on it, and the read was sent to each replica before the primary served it; without a primary that serves it, it failed. Cause: the prefix adds up to 40 bytes, and nothing asked whether they fit. Change: a read that leaves no room for the longest log position goes to the primary, which needs none. No text is refused.

--- a/packages/core/src/serving/choose-read-member.ts
+++ b/packages/core/src/serving/choose-read-member.ts
@@ -37,6 +37,8 @@
   readonly stalenessPosition: TermPosition | undefined;
   /** Members already tried for this read. */
   readonly tried: ReadonlySet<MemberId>;
+  /** Whether only the primary can run the read: it is too long to be sent with a log position. */
+  readonly needsPrimary?: boolean;
 }
 
 /**
@@ -64,7 +66,8 @@
  * @returns the position, or undefined if no replica may serve the read
  */
 export function resolveRequiredPosition(requirements: ReadRequirements): TermPosition | undefined {
-  const { route, stalenessPosition, sessionPosition } = requirements;
+  const { route, stalenessPosition, sessionPosition, needsPrimary = false } = requirements;
+  if (needsPrimary) return undefined;
   if (route.consistency === 'latest' || stalenessPosition === undefined) return undefined;
   return route.consistency === 'session'
     ? chooseLaterPosition(stalenessPosition, sessionPosition)
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -70,7 +70,7 @@
   constructor(
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
-    private readonly connector: MemberConnector,
+    readonly connector: MemberConnector,
     private readonly hosts: HostDirectory,
     private readonly clock: Clock,
     private readonly metrics: GatewayMetrics,
--- a/packages/gateway/src/ports/member-protocol.ts
+++ b/packages/gateway/src/ports/member-protocol.ts
@@ -106,6 +106,8 @@
   open(target: MemberTarget, handler: MemberHandler): MemberChannel;
   /** @returns whether the protocol can express the names of a target; opening it fails otherwise */
   mayOpen(target: MemberTarget): boolean;
+  /** @returns whether a statement is short enough to be sent with a log position to wait for */
+  mayWaitForPosition(requestId: string, text: string): boolean;
   /**
    * Decodes the reply to a `status` command.
    *
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -107,8 +107,10 @@
   ): Promise<Attempt> {
     const { clock, memberRegistry } = this.services;
     const { route } = grant;
+    const { requestId, text } = statement;
     const requirements = {
       route,
+      needsPrimary: !memberRegistry.connector.mayWaitForPosition(requestId, text),
       sessionPosition: state.commitPositions.get(route.group),
       stalenessPosition: memberRegistry.primaryTracker.findPositionForAge(
         route,
--- a/packages/gateway/test/units/caller-session.test.ts
+++ b/packages/gateway/test/units/caller-session.test.ts
@@ -98,6 +98,7 @@
       memberAccess: { run },
       metrics: { statements: { inc() {} }, latencySeconds: { observe() {} } },
       memberRegistry: {
+        connector: { mayWaitForPosition: () => true },
         primaryTracker: { findPositionForAge: () => undefined },
         listReaders: () => [createReader('m1', 0), createReader('m2', 1)],
         recordOutcome() {},
--- a/packages/gateway/test/units/member-connection-limit.test.ts
+++ b/packages/gateway/test/units/member-connection-limit.test.ts
@@ -72,6 +72,10 @@
     return true;
   }
 
+  mayWaitForPosition(): boolean {
+    return true;
+  }
+
   decodeStatus(): undefined {
     return undefined;
   }
