Count the state of sessions in the memory budget of their callers

What callers saw: SET and PREPARE were accepted without bound: 40 values of 1 MiB from one caller were all held, though all callers together may hold 32 MiB in the test. 350 of them are the memory of the process, which ends with everybody's sessions. Cause: values and prepared statements were part of no budget. Change: a session reports what its values and prepared statements hold, and its connection counts it with its buffers.

--- a/packages/gateway/src/ports/caller-protocol.ts
+++ b/packages/gateway/src/ports/caller-protocol.ts
@@ -88,6 +88,8 @@
 export interface CallerChannel {
   /** Whether messages were received that the handler has not been given yet. */
   readonly hasWaitingMessages: boolean;
+  /** Reports the memory that the session's state holds; counted with that of the connection. */
+  setStateBytes(bytes: number): void;
   /** Sends the reply to the start of the session. */
   sendStarted(reply: StatementReply): void;
   /** Sends the reply to a statement. */
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -252,14 +252,14 @@
   private updateState(
     statement: Extract<CallerStatement, { kind: 'set' | 'prepare' | 'deallocate' }>,
   ): StatementReply {
-    const { prepared } = this.state;
     if (statement.kind === 'set') {
       this.state.setValue(statement.name, statement.value);
     } else if (statement.kind === 'prepare') {
-      prepared.set(statement.name, createPrepared(statement));
-    } else if (!prepared.delete(statement.name)) {
+      this.state.setPrepared(statement.name, createPrepared(statement));
+    } else if (!this.state.removePrepared(statement.name)) {
       return this.createRefusal('unknown-name', 'no prepared statement has this name');
     }
+    this.channel.setStateBytes(this.state.heldBytes);
     return createLocalReply(this.transactionState);
   }
 
--- a/packages/gateway/test/units/caller-session.test.ts
+++ b/packages/gateway/test/units/caller-session.test.ts
@@ -18,6 +18,7 @@
 function createChannel(): CallerChannel {
   return {
     hasWaitingMessages: false,
+    setStateBytes: vi.fn(),
     sendStarted: vi.fn(),
     sendReply: vi.fn(),
     sendFinalError: vi.fn(),
