Bound the session values that idle connections to members keep

What callers saw: nothing yet; sessions that set long values and end leave them in the gateway's record of the connections they used, for up to 30 s, outside of every budget. Sessions that follow each other add up on as many connections as the pools have. Cause: an idle connection keeps the values that it has at its member, so that the next session can be compared with them. Change: the idle connections of one pool keep at most 1 MiB of values; one that would exceed it is closed when it is released. Sessions with ordinary values keep their connections. Evidence: three connections with 600 KiB of values each stayed idle before; one of them and the one with a short value stay now, the other two are closed.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './members/member-registry.js';
 export * from './members/member-connection.js';
 export * from './members/member-pool.js';
+export * from './members/pool-listener.js';
 export * from './members/primary-tracker.js';
 export * from './members/sample-exchange.js';
 export * from './members/connection-wait-queue.js';
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -135,6 +135,13 @@
     return true;
   }
 
+  /** Length of the values at the member; their texts stay in memory as long as the connection. */
+  get valueBytes(): number {
+    let bytes = 0;
+    for (const [name, value] of this.values) bytes += name.length + value.length;
+    return bytes;
+  }
+
   /** @returns when the oldest command without a reply was sent */
   get oldestSentAt(): Milliseconds | undefined {
     return this.pendingCommands[0]?.sentAt;
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -22,6 +22,7 @@
   type Waiter,
   ConnectionWaitQueue,
 } from './connection-wait-queue.js';
+import type { PoolLimits, PoolListener } from './pool-listener.js';
 
 /** Allows for a round trip between regions, the handshake and a short queue. */
 const CONNECTION_OPEN_TIMEOUT_MS = 500;
@@ -46,27 +47,14 @@
  * does not fill the member's accept queue; a third of the shortest latency objective observed.
  */
 const MAX_RECONNECT_DELAY_MS = 120;
+/**
+ * Maximum length of the session values of a pool's idle connections. The sessions that set them may have
+ * ended, and are no longer counted in the memory of their callers.
+ */
+const MAX_IDLE_VALUE_BYTES = 1024 * 1024;
 /** Time for which other members are preferred after this one could not be reached. */
 const UNREACHABLE_TTL_MS = 600;
 
-/** Receives what a pool observes of its member. */
-export interface PoolListener {
-  onReply(entry: MemberEntry, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void;
-  onUnreachable(entry: MemberEntry, reason: string): void;
-  onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
-  onPrepare(entry: MemberEntry, command: PrepareCommand): void;
-}
-
-/** Limits of a pool. */
-export interface PoolLimits {
-  /** Maximum number of connections of this instance. */
-  maxConnections: number;
-  /** Maximum number of connections that stay open without a request. */
-  maxIdleConnections: number;
-  /** Maximum number of requests that wait. */
-  maxWaiting: number;
-}
-
 /**
  * The connections of one instance to one member. Each serves one request at a time and is reused only
  * within its organisation.
@@ -171,11 +159,19 @@
       this.grant(connection, next);
       return;
     }
-    if (this.idle.length >= this.limits.maxIdleConnections) connection.close();
+    if (!this.mayBecomeIdle(connection)) connection.close();
     else this.idle.push(connection);
     if (this.queue.length > 0) this.serveQueue();
   }
 
+  private mayBecomeIdle(connection: MemberConnection): boolean {
+    if (this.idle.length >= this.limits.maxIdleConnections) return false;
+    let bytes = connection.valueBytes;
+    if (bytes === 0) return true;
+    for (const other of this.idle) bytes += other.valueBytes;
+    return bytes <= MAX_IDLE_VALUE_BYTES;
+  }
+
   /** Drops an acquired connection whose state is unknown. */
   discard(connection: MemberConnection, reason: string): void {
     connection.destroy(reason);
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -19,7 +19,8 @@
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
 import type { ExchangeResult, PrepareCommand } from './member-connection.js';
-import { MemberPool, type PoolLimits, type PoolListener } from './member-pool.js';
+import { MemberPool } from './member-pool.js';
+import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
 /** Maximum number of requests that wait for a connection to one member. */
--- /dev/null
+++ b/packages/gateway/src/members/pool-listener.ts
@@ -0,0 +1,20 @@
+import type { MemberEntry } from '@heatherledge/core';
+import type { ExchangeResult, PrepareCommand } from './member-connection.js';
+
+/** Receives what a pool observes of its member. */
+export interface PoolListener {
+  onReply(entry: MemberEntry, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void;
+  onUnreachable(entry: MemberEntry, reason: string): void;
+  onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
+  onPrepare(entry: MemberEntry, command: PrepareCommand): void;
+}
+
+/** Limits of a pool. */
+export interface PoolLimits {
+  /** Maximum number of connections of this instance. */
+  maxConnections: number;
+  /** Maximum number of connections that stay open without a request. */
+  maxIdleConnections: number;
+  /** Maximum number of requests that wait. */
+  maxWaiting: number;
+}
--- a/packages/gateway/test/units/member-pool.test.ts
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -22,6 +22,10 @@
   incarnation: 1,
 };
 
+/** More than half of what the idle connections of a pool may hold. */
+const LONG_VALUE_BYTES = 600 * 1024;
+const STATUS = { kind: 'status' } as const;
+
 const LISTENER = { onReply() {}, onUnreachable() {}, onConnection() {}, onPrepare() {} };
 
 function createRequest(
@@ -96,6 +100,26 @@
       expect(other.connection).not.toBe(connection);
     });
 
+    // Guards against values of sessions that have ended and fill the heap.
+    it('keeps idle connections whose values are short, and only some of those with long values', async () => {
+      const longValues = new Map([['name', 'x'.repeat(LONG_VALUE_BYTES)]]);
+      const acquired = [];
+      for (let count = 0; count < 3; count += 1) acquired.push(await acquireConnection('a'));
+      const short = await acquireConnection('a');
+      for (const { connection } of acquired) {
+        void connection.exchangeInSession({ values: longValues }, undefined, STATUS, 1000);
+      }
+      void short.connection.exchangeInSession(
+        { values: new Map([['name', 'x']]) },
+        undefined,
+        STATUS,
+        1000,
+      );
+      const connections = [...acquired, short].map(({ connection }) => connection);
+      for (const connection of connections) pool.release(connection);
+      expect(connections.map(({ isClosed }) => isClosed)).toEqual([false, true, true, false]);
+    });
+
     it('drops a connection that is released inside a transaction', async () => {
       const { connection } = await acquireConnection('a');
       connection.transactionState = 'open';
