--- a/packages/gateway/src/hosting/host-messages.ts
+++ b/packages/gateway/src/hosting/host-messages.ts
@@ -9,7 +9,8 @@
   toBrand,
 } from '@heatherledge/core';
 import type { PeerBody, PeerBodyOf } from '@heatherledge/daemon';
-import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
+import type { ExchangeResult } from '../members/member-connection.js';
+import type { MemberStatement } from '../ports/member-protocol.js';
 import { createPreparedStatement } from '../members/prepared-statement.js';
 import {
   type AccessRefusal,
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,9 +1,6 @@
 import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
-import type {
-  ExchangeResult,
-  MemberConnection,
-  MemberStatement,
-} from '../members/member-connection.js';
+import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
+import type { MemberStatement } from '../ports/member-protocol.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -1,6 +1,7 @@
 import type { MemberId, TermPosition } from '@heatherledge/core';
 import type { AcquireFailure } from '../members/connection-wait-queue.js';
-import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
+import type { ExchangeResult } from '../members/member-connection.js';
+import type { MemberStatement } from '../ports/member-protocol.js';
 import type { Access, ErrorCode } from '../ports/caller-protocol.js';
 import type { Credentials } from '../sessions/grants.js';
 
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -1,6 +1,7 @@
 import type { Clock, InstanceId } from '@heatherledge/core';
 import { MEMBER_HOSTING_FEATURE, type PeerBody, type PeerHub } from '@heatherledge/daemon';
-import type { ExchangeResult, MemberStatement } from '../members/member-connection.js';
+import type { ExchangeResult } from '../members/member-connection.js';
+import type { MemberStatement } from '../ports/member-protocol.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import {
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -6,11 +6,11 @@
   MemberConnector,
   MemberHandler,
   MemberReply,
+  MemberStatement,
   MemberTarget,
   PrepareCommand,
 } from '../ports/member-protocol.js';
 import { PreparedNames } from './prepared-names.js';
-import type { PreparedStatement } from './prepared-statement.js';
 
 /** How a command to a member ended. */
 export type ExchangeResult =
@@ -48,14 +48,6 @@
   readonly values: ReadonlyMap<string, string>;
 }
 
-/** A caller's read, write or commit as it is sent to a member. */
-export interface MemberStatement {
-  readonly requestId: string;
-  /** The statement as received; for a prepared one the text after its name, with the blank before it. */
-  readonly text: string;
-  readonly prepared: PreparedStatement | undefined;
-}
-
 /** One connection to a member: sends commands and matches the replies to them. */
 export class MemberConnection implements MemberHandler {
   readonly organisation: OrganisationId | undefined;
@@ -202,6 +194,13 @@
     return true;
   }
 
+  /** Length of the values at the member; their texts stay in memory as long as the connection. */
+  get valueBytes(): number {
+    let bytes = 0;
+    for (const [name, value] of this.values) bytes += name.length + value.length;
+    return bytes;
+  }
+
   /** @returns when the oldest command without a reply was sent */
   get oldestSentAt(): Milliseconds | undefined {
     return this.pendingCommands[0]?.sentAt;
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -19,7 +19,8 @@
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
 import type { ExchangeResult } from './member-connection.js';
-import { MemberPool, type PoolLimits, type PoolListener } from './member-pool.js';
+import { MemberPool } from './member-pool.js';
+import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
 /** Maximum number of requests that wait for a connection to one member. */
@@ -70,7 +71,7 @@
   constructor(
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
-    private readonly connector: MemberConnector,
+    readonly connector: MemberConnector,
     private readonly hosts: HostDirectory,
     private readonly clock: Clock,
     private readonly metrics: GatewayMetrics,
--- a/packages/gateway/src/ports/member-protocol.ts
+++ b/packages/gateway/src/ports/member-protocol.ts
@@ -6,8 +6,17 @@
   OrganisationId,
   Term,
 } from '@heatherledge/core';
+import type { PreparedStatement } from '../members/prepared-statement.js';
 import type { Access, TransactionState, WireError } from './caller-protocol.js';
 
+/** A caller's read, write or commit as it is sent to a member. */
+export interface MemberStatement {
+  readonly requestId: string;
+  /** The statement as received; for a prepared one the text after its name, with the blank before it. */
+  readonly text: string;
+  readonly prepared: PreparedStatement | undefined;
+}
+
 /** A command to a member. */
 export type MemberCommand =
   /** A caller's read, write or commit, with the caller's request id. */
@@ -117,6 +126,10 @@
 /** Opens connections to members. */
 export interface MemberConnector {
   open(target: MemberTarget, handler: MemberHandler): MemberChannel;
+  /** @returns whether the protocol can express the names of a target; opening it fails otherwise */
+  mayOpen(target: MemberTarget): boolean;
+  /** @returns whether a statement is short enough to be sent with a log position to wait for */
+  mayWaitForPosition(statement: MemberStatement): boolean;
   /**
    * Decodes the reply to a `status` command.
    *
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -109,6 +109,7 @@
     const { route } = grant;
     const requirements = {
       route,
+      needsPrimary: !memberRegistry.connector.mayWaitForPosition(statement),
       sessionPosition: state.commitPositions.get(route.group),
       stalenessPosition: memberRegistry.primaryTracker.findPositionForAge(
         route,
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -1,6 +1,7 @@
 import type { Clock, GroupId, Milliseconds, ReadPlacement, TermPosition } from '@heatherledge/core';
 import type { ConnectionRequest, MemberAccess } from '../hosting/member-access.js';
-import type { MemberStatement, SessionState } from '../members/member-connection.js';
+import type { SessionState } from '../members/member-connection.js';
+import type { MemberStatement } from '../ports/member-protocol.js';
 import type { PreparedStatement } from '../members/prepared-statement.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type {
--- a/packages/gateway/test/units/caller-session.test.ts
+++ b/packages/gateway/test/units/caller-session.test.ts
@@ -18,6 +18,7 @@
 function createChannel(): CallerChannel {
   return {
     hasWaitingMessages: false,
+    setStateBytes: vi.fn(),
     sendStarted: vi.fn(),
     sendReply: vi.fn(),
     sendFinalError: vi.fn(),
@@ -98,6 +99,7 @@
       memberAccess: { run },
       metrics: { statements: { inc() {} }, latencySeconds: { observe() {} } },
       memberRegistry: {
+        connector: { mayWaitForPosition: () => true },
         primaryTracker: { findPositionForAge: () => undefined },
         listReaders: () => [createReader('m1', 0), createReader('m2', 1)],
         recordOutcome() {},
