Send large messages between instances in parts, so that one caller's does not end those of others

What callers saw: a caller with more than 8 MiB of session values in all (4 MiB above 0x7f, which double in UTF-8), or a member's reply with that many rows, ended the statements of all other callers on the link between the two instances. Those that had been sent had an unknown outcome. Each retry did it again.

Cause: a message was one WebSocket frame, and a frame above 8 MiB closes the link at its receiver.

Change: a message above 128 KiB is sent in parts, one of each message in turn and each after the socket has taken the last, so that others wait for one part at most. One that exceeds a limit fails alone: its request is certain not to have been handled, and the statement runs over the instance's own connections; a reply that cannot be sent leaves the outcome unknown, as before. Neither counts as a failure of the host. A request whose parts are still being sent at its timeout is cancelled, and known not to have been handled. Instances of earlier versions do not announce `message-parts`; they get whole frames as before, and nothing above 8 MiB.

--- a/packages/core/src/hosting/host-availability.ts
+++ b/packages/core/src/hosting/host-availability.ts
@@ -56,10 +56,15 @@
 
   /** Records that a request has ended; `isAnswered` is false if no answer arrived. */
   recordEnded(host: InstanceId, isAnswered: boolean, now: Milliseconds): void {
-    const state = this.getState(host);
-    state.unanswered = Math.max(0, state.unanswered - 1);
     if (isAnswered) this.recordHeard(host, now);
     else this.recordFailure(host, now);
+    this.recordUnsent(host, now);
+  }
+
+  /** Records that a request was not sent after all, for a reason that says nothing about the host. */
+  recordUnsent(host: InstanceId, now: Milliseconds): void {
+    const state = this.getState(host);
+    state.unanswered = Math.max(0, state.unanswered - 1);
     state.oldestSentAt = state.unanswered > 0 ? now : undefined;
   }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 export * from './peers/peer-hub.js';
 export * from './runtime/random.js';
 export * from './runtime/system-clock.js';
+export * from './peers/message-parts.js';
 export * from './peers/peer-link.js';
 export * from './peers/pending-requests.js';
 export * from './peers/outbound-link.js';
--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -98,6 +98,7 @@
       .enum([
         'timeout',
         'unreachable',
+        'too-large',
         'wrong-member',
         'overloaded',
         'closed',
--- a/packages/daemon/src/peers/outbound-link.ts
+++ b/packages/daemon/src/peers/outbound-link.ts
@@ -19,8 +19,6 @@
 
 /** Receives what becomes of a link's messages. */
 export interface OutboundLinkListener {
-  /** A message was handed to the link's socket. */
-  onSent(envelope: Envelope): void;
   /** A message was not sent, since the receiver does not support it. */
   onUnsupported(envelope: Envelope): void;
 }
@@ -95,7 +93,6 @@
       this.listener.onUnsupported(envelope);
       return false;
     }
-    this.listener.onSent(envelope);
     this.link.send(envelope);
     return true;
   }
--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -1,6 +1,7 @@
 import type { AddressInfo } from 'node:net';
 import type { InstanceId } from '@heatherledge/core';
 import { WebSocket, WebSocketServer } from 'ws';
+import { type EnvelopeNumbers, IncompleteMessageMemory } from './message-parts.js';
 import {
   MAX_PEER_FRAME_BYTES,
   PeerLink,
@@ -43,6 +44,8 @@
 
   private readonly pendingRequests = new PendingRequests();
 
+  private readonly incompleteMessages = new IncompleteMessageMemory();
+
   private readonly linkClosedListeners: ((link: PeerLink) => void)[] = [];
 
   private server: WebSocketServer | undefined;
@@ -71,7 +74,7 @@
     const server = new WebSocketServer({ ...address, maxPayload: MAX_PEER_FRAME_BYTES });
     this.server = server;
     server.on('connection', (socket) => {
-      this.accepted.add(new PeerLink(socket, this.identity, this, false));
+      this.accepted.add(this.createLink(socket, false));
     });
     await new Promise((resolve, reject) => {
       server.once('listening', resolve);
@@ -152,7 +155,7 @@
   /** Sends a message over all open links, without opening others; it may be lost. */
   broadcast(body: PeerBody): void {
     const links = [...this.accepted, ...[...this.links.values()].map(({ link }) => link)];
-    for (const link of links) if (link.isReady) this.write(link, { body });
+    for (const link of links) if (link.isReady) link.send({ body });
   }
 
   /** Adds a listener that is called when a link that another instance opened has closed. */
@@ -167,11 +170,15 @@
 
   onMessage(link: PeerLink, envelope: Envelope): void {
     this.counts.messagesReceived += 1;
+    this.onPart(link);
+    if (envelope.answer !== undefined) this.pendingRequests.answer(envelope.answer, envelope.body);
+    else void this.dispatch(link, envelope);
+  }
+
+  onPart(link: PeerLink): void {
     const outbound = link.peer === undefined ? undefined : this.links.get(link.peer);
     // A message over the other instance's link says nothing about the link from here.
     if (outbound?.link === link) outbound.recordHeard();
-    if (envelope.answer !== undefined) this.pendingRequests.answer(envelope.answer, envelope.body);
-    else void this.dispatch(link, envelope);
   }
 
   onUndecodable(link: PeerLink, kind: string): void {
@@ -222,7 +229,7 @@
       response = { kind: 'failed' };
     }
     if (envelope.ask !== undefined) {
-      this.write(link, { answer: envelope.ask, body: response ?? { kind: 'done' } });
+      link.send({ answer: envelope.ask, body: response ?? { kind: 'done' } });
     }
   }
 
@@ -231,6 +238,13 @@
     if (ask !== undefined) this.pendingRequests.markSent(ask);
   }
 
+  onTooLarge(link: PeerLink, { ask, answer }: EnvelopeNumbers): void {
+    this.onProblem({ peer: link.peer, kind: undefined, reason: 'a message is too large' });
+    if (ask !== undefined) this.pendingRequests.refuse(ask);
+    // The request was handled, with an outcome that cannot be sent.
+    if (answer !== undefined) link.send({ answer, body: { kind: 'failed' } });
+  }
+
   onUnsupported({ ask }: Envelope): void {
     if (ask !== undefined) this.pendingRequests.lose(ask);
   }
@@ -248,15 +262,13 @@
       handshakeTimeout: 1000,
       perMessageDeflate: false,
     });
-    const link = new PeerLink(socket, this.identity, this, true);
-    const outbound = new OutboundLink(link, this);
+    const outbound = new OutboundLink(this.createLink(socket, true), this);
     this.links.set(to, outbound);
     return outbound;
   }
 
-  private write(link: PeerLink, envelope: Envelope): void {
-    this.counts.messagesSent += 1;
-    link.send(envelope);
+  private createLink(socket: WebSocket, isInitiator: boolean): PeerLink {
+    return new PeerLink(socket, this.identity, this, isInitiator, this.incompleteMessages);
   }
 
   /** Ends a request that still waits for its link, so that it is not sent once the link opens. */
@@ -266,8 +278,9 @@
 
   private expireRequest(requestId: number, to: InstanceId): void {
     this.cancelUnsent(requestId, to);
-    this.pendingRequests.lose(requestId);
     const outbound = this.links.get(to);
+    if (outbound?.link.cancel(requestId)) this.pendingRequests.refuse(requestId);
+    this.pendingRequests.lose(requestId);
     if (outbound === undefined || !outbound.recordUnanswered()) return;
     this.links.delete(to);
     outbound.link.close();
--- a/packages/daemon/src/peers/peer-link.ts
+++ b/packages/daemon/src/peers/peer-link.ts
@@ -3,17 +3,27 @@
 import { toBrand } from '@heatherledge/core';
 import { Packr } from 'msgpackr';
 import { WebSocket } from 'ws';
+import {
+  type EnvelopeNumbers,
+  IncomingParts,
+  type IncompleteMessageMemory,
+  MAX_PART_BYTES,
+  OutgoingParts,
+  type PartFrame,
+  partFrameSchema,
+} from './message-parts.js';
 import {
   type Envelope,
   envelopeNumbersSchema,
   envelopeSchema,
   type Hello,
   helloSchema,
+  MESSAGE_PARTS_FEATURE,
   PEER_PROTOCOL_VERSION,
   SUPPORTED_FEATURES,
 } from './peer-messages.js';
 
-/** Largest frame accepted from a peer; the message schemas also bound the length of some arrays. */
+/** Largest frame accepted from a peer; a larger one closes the link. */
 export const MAX_PEER_FRAME_BYTES = 8 * 1024 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 
@@ -22,6 +32,12 @@
   /** The handshake is done; messages can be sent. */
   onReady(link: PeerLink): void;
   onMessage(link: PeerLink, envelope: Envelope): void;
+  /** A part of a message arrived. */
+  onPart(link: PeerLink): void;
+  /** A message was handed to the socket as a whole. */
+  onSent(envelope: Envelope): void;
+  /** A message was not sent, or not handled by the receiver, as it is too large; the link stays open. */
+  onTooLarge(link: PeerLink, numbers: EnvelopeNumbers): void;
   /** A message's body did not match the schema; the link stays open. */
   onUndecodable(link: PeerLink, kind: string): void;
   /** A frame was malformed or not authenticated, or the handshake timed out; the link is closed. */
@@ -34,6 +50,8 @@
   readonly self: InstanceId;
   /** The fleet's secret. */
   readonly secret: string;
+  /** Optional parts of the protocol that this instance supports; all by default. */
+  readonly features?: readonly string[];
 }
 
 const packr = new Packr({ useRecords: false });
@@ -61,18 +79,31 @@
 
   private readonly handshakeTimer: NodeJS.Timeout;
 
+  private readonly outgoing: OutgoingParts;
+
+  private readonly incoming: IncomingParts;
+
   /**
    * @param socket - open or opening connection
    * @param identity - this instance and the fleet's secret
    * @param listener - receives the link's events
    * @param isInitiator - whether this instance opened the connection
+   * @param memory - memory for the incomplete messages of all links
    */
   constructor(
     private readonly socket: WebSocket,
     private readonly identity: PeerLinkIdentity,
     private readonly listener: PeerLinkListener,
     private readonly isInitiator: boolean,
+    memory: IncompleteMessageMemory,
   ) {
+    this.outgoing = new OutgoingParts(
+      (frame, onWritten) => this.writePart(frame, onWritten),
+      (envelope) => listener.onSent(envelope),
+    );
+    this.incoming = new IncomingParts(memory, (message, numbers) =>
+      this.writePart({ frame: 'parts.refused', message, ...numbers }),
+    );
     this.handshakeTimer = setTimeout(
       () => this.refuse('handshake took too long'),
       HANDSHAKE_TIMEOUT_MS,
@@ -81,6 +112,7 @@
     socket.on('error', () => socket.terminate());
     socket.on('close', () => {
       clearTimeout(this.handshakeTimer);
+      this.incoming.close();
       listener.onClosed(this);
     });
     if (isInitiator) socket.on('open', () => this.sendHello());
@@ -92,12 +124,31 @@
   }
 
   /**
-   * Sends a message; drops it if the link is not ready.
+   * Sends a message; drops it if the link is not ready. One that is too large is reported to the listener.
    *
    * @param envelope - message to send
    */
   send(envelope: Envelope): void {
-    if (this.isReady) this.write(packr.pack(envelope));
+    if (!this.isReady) return;
+    const bytes = packr.pack(envelope);
+    const isInParts =
+      bytes.length > MAX_PART_BYTES && this.features.includes(MESSAGE_PARTS_FEATURE);
+    if (!isInParts && bytes.length <= MAX_PEER_FRAME_BYTES) {
+      this.write(bytes);
+      this.listener.onSent(envelope);
+    } else if (!isInParts || !this.outgoing.add(envelope, bytes)) {
+      this.listener.onTooLarge(this, envelope);
+    }
+  }
+
+  /**
+   * Stops sending a request.
+   *
+   * @param ask - number of the request
+   * @returns whether a part of it was still to be sent, so that the other instance has not handled it
+   */
+  cancel(ask: number): boolean {
+    return this.outgoing.cancel(ask);
   }
 
   /** Closes the connection at once, without a closing handshake. */
@@ -105,9 +156,13 @@
     this.socket.terminate();
   }
 
-  private write(bytes: Buffer): void {
+  private write(bytes: Buffer, onWritten?: () => void): void {
     this.bytesSent += bytes.length;
-    this.socket.send(bytes);
+    this.socket.send(bytes, () => onWritten?.());
+  }
+
+  private writePart(frame: PartFrame, onWritten?: () => void): void {
+    if (this.isReady) this.write(packr.pack(frame), onWritten);
   }
 
   private receive(data: Buffer): void {
@@ -117,6 +172,25 @@
       this.receiveHello(message);
       return;
     }
+    const frame = partFrameSchema.safeParse(message);
+    if (frame.success) this.receivePart(frame.data);
+    else this.receiveMessage(message);
+  }
+
+  private receivePart(frame: PartFrame): void {
+    this.listener.onPart(this);
+    if (frame.frame === 'parts.cancelled') this.incoming.discard(frame.message);
+    else if (frame.frame === 'parts.refused') {
+      this.outgoing.discard(frame.message);
+      this.listener.onTooLarge(this, frame);
+    } else {
+      const result = this.incoming.take(frame);
+      if (result.kind === 'malformed') this.refuse('malformed part of a message');
+      else if (result.kind === 'complete') this.receiveMessage(decodeFrame(result.bytes));
+    }
+  }
+
+  private receiveMessage(message: unknown): void {
     const envelope = envelopeSchema.safeParse(message);
     if (envelope.success) this.listener.onMessage(this, envelope.data);
     else this.handleUndecodable(message);
@@ -181,7 +255,7 @@
       instance: this.identity.self,
       nonce: this.nonce,
       proof,
-      features: [...SUPPORTED_FEATURES],
+      features: [...(this.identity.features ?? SUPPORTED_FEATURES)],
     };
     this.write(packr.pack(hello));
   }
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -7,8 +7,14 @@
 /** Messages that host members' connections; instances of earlier versions do not know them. */
 export const MEMBER_HOSTING_FEATURE = 'member-hosting';
 
+/** Large messages in parts; instances of earlier versions accept none above the size of a frame. */
+export const MESSAGE_PARTS_FEATURE = 'message-parts';
+
 /** Optional parts of the protocol that this version supports. */
-export const SUPPORTED_FEATURES: readonly string[] = [MEMBER_HOSTING_FEATURE];
+export const SUPPORTED_FEATURES: readonly string[] = [
+  MEMBER_HOSTING_FEATURE,
+  MESSAGE_PARTS_FEATURE,
+];
 
 /** Status of a member as one watcher received it. */
 const memberStatus = z.object({
--- a/packages/daemon/src/peers/pending-requests.ts
+++ b/packages/daemon/src/peers/pending-requests.ts
@@ -4,8 +4,13 @@
 /** How a request to another instance ended. */
 export type PeerExchange =
   | { readonly kind: 'answered'; readonly body: PeerBody }
-  /** `wasSent` is false only if the request is certain not to have left this process. */
-  | { readonly kind: 'lost'; readonly wasSent: boolean };
+  | {
+      readonly kind: 'lost';
+      /** False only if the request is certain not to have been handled. */
+      readonly wasSent: boolean;
+      /** Whether it was not sent for its size alone; the instance may accept other requests. */
+      readonly isTooLarge?: boolean;
+    };
 
 interface PendingRequest {
   readonly to: InstanceId;
@@ -59,6 +64,11 @@
     request?.resolve({ kind: 'lost', wasSent: request.wasSent });
   }
 
+  /** Ends a request that was not sent, or not as a whole, since it is too large. */
+  refuse(id: number): void {
+    this.take(id)?.resolve({ kind: 'lost', wasSent: false, isTooLarge: true });
+  }
+
   /** Ends all requests to an instance, or to all instances, without a response. */
   loseAll(to?: InstanceId): void {
     for (const [id, request] of this.requests) {
--- a/packages/gateway/src/hosting/member-access-router.ts
+++ b/packages/gateway/src/hosting/member-access-router.ts
@@ -12,6 +12,7 @@
   type ConnectionRequest,
   createRefusal,
   type MemberAccess,
+  type RefusalReason,
   type StatementRequest,
   type StatementResult,
 } from './member-access.js';
@@ -22,6 +23,14 @@
 /** Maximum wait for the response to a ping; a round trip between regions takes 24 ms. */
 const PING_TIMEOUT_MS = 250;
 
+/** Refusals that say nothing about whether another instance would serve the request. */
+const ELSEWHERE_REASONS: ReadonlySet<RefusalReason> = new Set([
+  'unreachable',
+  'too-large',
+  'stale-key',
+  'stale-primary',
+]);
+
 /**
  * Runs each statement at the host of its member: this instance or another one. A statement that a
  * host refused without sending it is tried at the next host at once.
@@ -85,6 +94,10 @@
       const result = await call(this.getRemote(host), remaining);
       if (result.kind !== 'refused' || !this.mayServeElsewhere(result, credentials)) return result;
       const { reason, text } = result;
+      // Says nothing about the host, which goes on to serve others.
+      if (reason === 'too-large') {
+        return call(this.local, { ...request, timeoutMs: deadline - this.clock.now() });
+      }
       const isNew = this.directory.recordUnservedMember(host, member);
       if (isNew) this.log.info('host.member.unserved', { host, member, reason, text });
     }
@@ -96,7 +109,7 @@
    */
   private mayServeElsewhere({ reason }: AccessRefusal, credentials: Credentials): boolean {
     if (reason === 'key') return this.grantChecker.findRefusal(credentials) === undefined;
-    return reason === 'unreachable' || reason === 'stale-key' || reason === 'stale-primary';
+    return ELSEWHERE_REASONS.has(reason);
   }
 
   private getRemote(host: InstanceId): RemoteMemberAccess {
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -41,6 +41,8 @@
 /** Why a request was refused before anything was sent to the member. */
 export type RefusalReason =
   | AcquireFailure
+  /** The request is too large to be sent to the member's host; other requests are not. */
+  | 'too-large'
   /** The key is not valid according to this instance's settings. */
   | 'key'
   /** The settings were not confirmed recently enough to check the key; another instance's may be. */
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -119,6 +119,11 @@
     );
     const now = clock.now();
     load?.recordEnd();
+    if (exchange.kind === 'lost' && exchange.isTooLarge === true) {
+      directory.availability.recordUnsent(host, now);
+      this.metrics.forwardedRequests.inc({ outcome: 'not-sent' });
+      return createRefusal('too-large', 'busy', 'the request is too large for its host');
+    }
     directory.availability.recordEnded(host, exchange.kind === 'answered', now);
     if (exchange.kind === 'lost') {
       this.metrics.forwardedRequests.inc({ outcome: exchange.wasSent ? 'lost' : 'not-sent' });
--- a/packages/gateway/test/hosting/member-access-router.test.ts
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -195,6 +195,15 @@
     });
   });
 
+  it('serves by itself a request that is too large for the host, which goes on to serve others', async () => {
+    respond = () => ({ kind: 'lost', wasSent: false, isTooLarge: true });
+    expect((await router.run(createStatementRequest())).kind).toBe('answered');
+    expect(calls).toEqual([hosts[0], 'local']);
+    respond = () => SERVED;
+    await router.run(createStatementRequest());
+    expect(calls.slice(2)).toEqual([hosts[0]]);
+  });
+
   it('lets the standby hold the connections of a host that does not answer, and no longer', () => {
     const [host, standby] = hosts as [InstanceId, InstanceId];
     const own = new HostDirectory(standby, view, clock);
