Keep the process when a first message on a link holds a proof of another length in bytes

What would be seen: the process ends, with all its callers. Anyone who reaches the port for other instances can send a first message ('hello') without the fleet's secret.

Cause: the proof was checked to have 64 characters, and then compared as bytes. With letters of several bytes the comparison (timingSafeEqual) throws, in a handler of the socket, which no caller of it can catch.

--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -263,8 +263,12 @@
 export const helloSchema = z.object({
   version: z.literal(PEER_PROTOCOL_VERSION),
   instance: z.string().min(1).max(200),
-  nonce: z.string().length(32),
-  proof: z.string().length(64).optional(),
+  nonce: z.string().regex(/^[\da-f]{32}$/),
+  // Its length in bytes must be that of the expected one, or the comparison throws.
+  proof: z
+    .string()
+    .regex(/^[\da-f]{64}$/)
+    .optional(),
   /** Optional parts of the protocol that the sender supports; unknown ones are ignored. */
   features: z.array(z.string()).max(32).optional(),
 });
