Take an instance whose recorded address names no host for one that cannot be reached

What would be seen: beside one such record under `heatherledge/instance/`, whatever sends to all instances ends with an error: the coordinator pings none of the others, so it removes no instance that is gone, and a recall of lost records fails as a whole, so that the records of a store that returned from an older copy stay incomplete.

Cause: the address is put into a URL, whose constructor throws ('Invalid URL', 'The URL contains a fragment identifier'), and the error went up to the loop over all instances. With a slash or an `@` it named another host.

Change: an address that is no host name or IPv4 address, or makes no URL, is reported and counts as out of reach.

Evidence: `takes an instance at the address ... for one that cannot be reached`: 3 of the first 5 failed before, with these errors; `user@127.0.0.1` passed by connecting to 127.0.0.1, and `1.2.3.999` was added with the change. That the loops end was read in the code (`InstanceSweeper.pingInstances`, `RecordRecall.recall`), not run.

--- a/packages/daemon/src/peers/peer-hub-types.ts
+++ b/packages/daemon/src/peers/peer-hub-types.ts
@@ -39,6 +39,11 @@
   refused: number;
 }
 
+/** @returns counters that have counted nothing yet */
+export function createPeerCounts(): PeerCounts {
+  return { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0, refused: 0 };
+}
+
 /** What a request needs of its link. */
 export interface ExchangeOptions {
   /** Optional part of the protocol that the receiver must support. */
@@ -46,3 +51,17 @@
   /** Maximum wait for the link to open, in milliseconds; the request is not sent after it. */
   readonly connectTimeoutMs?: number;
 }
+
+const HOST_PATTERN = /^[\w.-]+$/;
+
+/**
+ * @param record - an instance, at the address that its record in the store names
+ * @returns the URL of its end of a link, or undefined if the address names no host
+ */
+export function formatPeerUrl({
+  host,
+  peerPort,
+}: Pick<InstanceRecord, 'host' | 'peerPort'>): string | undefined {
+  const url = `ws://${host}:${peerPort}`;
+  return HOST_PATTERN.test(host) && URL.canParse(url) ? url : undefined;
+}
--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -9,13 +9,14 @@
   type PeerLinkListener,
 } from './peer-link.js';
 import type { Envelope, PeerBody, PeerMessageKind } from './peer-messages.js';
-import type {
-  ExchangeOptions,
-  PeerAddress,
-  PeerCounts,
-  PeerHandler,
-  PeerProblemListener,
-  PeerResolver,
+import {
+  createPeerCounts,
+  type ExchangeOptions,
+  formatPeerUrl,
+  type PeerAddress,
+  type PeerHandler,
+  type PeerProblemListener,
+  type PeerResolver,
 } from './peer-hub-types.js';
 import { OutboundLink, type OutboundLinkListener, type QueuedEnvelope } from './outbound-link.js';
 import { type PeerExchange, PendingRequests } from './pending-requests.js';
@@ -27,13 +28,7 @@
  * responses to requests.
  */
 export class PeerHub implements PeerLinkListener, OutboundLinkListener {
-  readonly counts: PeerCounts = {
-    bytesSent: 0,
-    bytesReceived: 0,
-    messagesSent: 0,
-    messagesReceived: 0,
-    refused: 0,
-  };
+  readonly counts = createPeerCounts();
 
   private readonly handlers = new Map<PeerMessageKind, PeerHandler<never>>();
 
@@ -257,7 +252,12 @@
   private openLink(to: InstanceId): OutboundLink | undefined {
     const record = this.resolvePeer(to);
     if (record === undefined || record.state === 'dead') return undefined;
-    const socket = new WebSocket(`ws://${record.host}:${record.peerPort}`, {
+    const url = formatPeerUrl(record);
+    if (url === undefined) {
+      this.onProblem({ peer: to, kind: undefined, reason: 'the address names no host' });
+      return undefined;
+    }
+    const socket = new WebSocket(url, {
       maxPayload: MAX_PEER_FRAME_BYTES,
       handshakeTimeout: 1000,
       perMessageDeflate: false,
--- a/packages/daemon/test/units/peer-hub.test.ts
+++ b/packages/daemon/test/units/peer-hub.test.ts
@@ -1,22 +1,25 @@
-import { type InstanceId, toBrand } from '@heatherledge/core';
+import { type InstanceId, type InstanceRecord, toBrand } from '@heatherledge/core';
 import { Packr } from 'msgpackr';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { WebSocket } from 'ws';
 import { PeerHub } from '../../src/index.js';
 
 const SELF = toBrand<InstanceId>('self');
+const TIMEOUT_MS = 2000;
 const packr = new Packr({ useRecords: false });
 
 describe('PeerHub', () => {
+  let records: Map<InstanceId, InstanceRecord>;
   let hub: PeerHub;
   let port: number;
   let problems: unknown[];
 
   beforeEach(async () => {
+    records = new Map();
     problems = [];
     hub = new PeerHub(
       { self: SELF, secret: 's' },
-      () => undefined,
+      (id) => records.get(id),
       (problem) => problems.push(problem),
     );
     port = await hub.start({ host: '127.0.0.1', port: 0 });
@@ -24,6 +27,13 @@
 
   afterEach(() => hub.stop());
 
+  function addRecord(name: string, host: string): InstanceId {
+    const id = toBrand<InstanceId>(name);
+    const record = { failureDomain: toBrand<InstanceRecord['failureDomain']>('a'), incarnation: 0 };
+    records.set(id, { ...record, id, host, peerPort: port, state: 'alive' });
+    return id;
+  }
+
   /** Anyone who reaches the port can send a first message; none of them may end the process. */
   it.each([
     ['letters of several bytes', 'é'.repeat(64)],
@@ -45,4 +55,17 @@
     expect(hub.counts.refused).toBe(1);
     expect(problems).toHaveLength(1);
   });
+
+  /** The addresses of instances come from records in the store. */
+  it.each(['no host', 'a/b#c', '127.0.0.1/path', 'user@127.0.0.1', '1.2.3.999', ''])(
+    'takes an instance at the address %j for one that cannot be reached',
+    async (host) => {
+      const id = addRecord('odd', host);
+      hub.send(id, { kind: 'peer.ping' });
+      expect(await hub.exchange(id, { kind: 'peer.ping' }, TIMEOUT_MS)).toEqual({
+        kind: 'lost',
+        wasSent: false,
+      });
+    },
+  );
 });
