Report silent primaries to a coordinator whose name holds a slash

What would be seen: no instance but the coordinator reports a primary that does not respond. Replacing it needs reports of two instances, so a crashed primary that is still listed stays in place and its writes fail.

Cause: the coordinator's record holds NAME/LEASE, and what stood before the first slash was taken for the name. Names of instances come from the platform's settings file.

Change: the name ends at the last slash. The lease's id, which the store chooses, is written without slashes; a number stays as it is, so that earlier versions read the record as before.

--- a/packages/gateway/src/failover/coordinator-lease.ts
+++ b/packages/gateway/src/failover/coordinator-lease.ts
@@ -8,7 +8,7 @@
 } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
-import { COORDINATOR_KEY, encodeRecord, ERA_KEY } from '../fleet/records.js';
+import { COORDINATOR_KEY, encodeRecord, ERA_KEY, formatCoordinator } from '../fleet/records.js';
 import type {
   ControlStore,
   LeaseId,
@@ -175,7 +175,7 @@
 
   /** Contains the lease id, so that an earlier claim is not valid for a restarted process. */
   private get holderName(): string {
-    return `${this.self}/${this.held?.id ?? ''}`;
+    return formatCoordinator(this.self, this.held?.id ?? ('' as LeaseId));
   }
 
   private async run(): Promise<void> {
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -11,6 +11,7 @@
   toBrand,
 } from '@heatherledge/core';
 import type { PeerHub } from '@heatherledge/daemon';
+import { parseCoordinatorId } from '../fleet/records.js';
 import type { MemberStatus } from '../ports/member-protocol.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
@@ -108,11 +109,10 @@
     if (member === undefined || pool === undefined) return;
     const now = clock.now();
     if (pool.computeSilenceMs(now) < PRIMARY_RESPONSE_TIMEOUT_MS && pool.avoidUntil <= now) return;
-    const coordinator = view.coordinator?.value.instance.split('/')[0];
+    if (view.coordinator === undefined) return;
+    const coordinator = parseCoordinatorId(view.coordinator.value);
     if (coordinator === self) this.suspicions.record(group, member, self, now);
-    else if (coordinator !== undefined) {
-      this.hub.send(toBrand(coordinator), { kind: 'primary.suspect', group, member });
-    }
+    else this.hub.send(coordinator, { kind: 'primary.suspect', group, member });
   }
 
   private async checkGroup(group: GroupId): Promise<void> {
--- a/packages/gateway/src/fleet/records.ts
+++ b/packages/gateway/src/fleet/records.ts
@@ -1,6 +1,7 @@
 import type { GroupId, InstanceId, MemberId } from '@heatherledge/core';
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
+import type { LeaseId } from '../ports/control-store.js';
 
 /** Prefix of the keys of all records that the gateway writes to the store. */
 export const RECORDS_PREFIX = 'heatherledge/';
@@ -67,6 +68,16 @@
   | { readonly kind: 'era'; readonly value: EraRecord }
   | { readonly kind: 'primary'; readonly group: GroupId; readonly value: PrimaryRecord };
 
+/** Formats the name under which an instance holds the coordinator's role; each lease has another one. */
+export function formatCoordinator(id: InstanceId, lease: LeaseId): string {
+  return `${id}/${encodeURIComponent(lease)}`;
+}
+
+/** Parses the id of the coordinator; the id, but not what follows it, may hold slashes. */
+export function parseCoordinatorId({ instance }: CoordinatorRecord): InstanceId {
+  return instance.slice(0, instance.lastIndexOf('/')) as InstanceId;
+}
+
 /** Formats the key of an instance's record. */
 export function formatInstanceKey(id: InstanceId): string {
   return `${INSTANCE_PREFIX}${id}`;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -44,5 +44,7 @@
 export * from './failover/coordinator-lease.js';
 export * from './failover/era-recovery.js';
 export * from './failover/record-recall.js';
+export * from './failover/primary-change.js';
+export * from './failover/primary-monitor.js';
 export * from './failover/primary-suspension.js';
 export * from './failover/member-control.js';
