Wait for replicas at each draining of a primary, not only at the first one of its id

What would be seen: a primary that drains for the second time under its id is replaced at once, without the wait of up to 4 s for a replica to catch up. With `syncReplicas` of 0, commits that no replica has received by then are lost.

Cause: the time at which a primary was first seen to drain was kept under the member's id and never removed, neither when it stopped draining nor when it started again, and also over the end of the coordinator's lease.

Change: the time belongs to an incarnation, and is removed when the member is seen not to drain. It and the time since which a primary is missing are removed while this instance is not the coordinator, which bounds both maps too.

--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -5,6 +5,7 @@
   type InstanceId,
   type MemberEntry,
   type MemberId,
+  type MemberIncarnation,
   type Milliseconds,
   formatIncarnation,
   SuspicionTracker,
@@ -56,7 +57,8 @@
 
   private readonly missingSince = new Map<GroupId, Milliseconds>();
 
-  private readonly drainingSince = new Map<MemberId, Milliseconds>();
+  /** When primaries were first seen to drain, in the incarnation in which they do. */
+  private readonly drainingSince = new Map<MemberIncarnation, Milliseconds>();
 
   private readonly commitHolderTracker: CommitHolderTracker;
 
@@ -95,6 +97,11 @@
 
   private checkGroups(): void {
     const { view, lease } = this.services;
+    // What was seen in an earlier term as the coordinator may have ended since.
+    if (!lease.isHeld) {
+      this.missingSince.clear();
+      this.drainingSince.clear();
+    }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
       if (lease.isHeld && !this.groupsInProgress.has(group)) void this.checkGroup(group);
@@ -160,6 +167,7 @@
       return mayReplace ? 'missing' : undefined;
     }
     this.missingSince.delete(group);
+    if (!entry.isDraining) this.drainingSince.delete(formatIncarnation(entry));
     const mayReplace = view
       .listMembers(group)
       .some(({ id, isDraining }) => id !== member && !isDraining);
@@ -209,8 +217,9 @@
    */
   private async mayStepDown(group: GroupId, draining: MemberEntry): Promise<boolean> {
     const { control, clock } = this.services;
-    const since = this.drainingSince.get(draining.id) ?? clock.now();
-    this.drainingSince.set(draining.id, since);
+    const incarnation = formatIncarnation(draining);
+    const since = this.drainingSince.get(incarnation) ?? clock.now();
+    this.drainingSince.set(incarnation, since);
     if (clock.now() - since > MAX_CATCH_UP_WAIT_MS) return true;
     const primary = await control.sendCommand(draining, { kind: 'status' });
     return primary === undefined || this.hasCaughtUpReplica(group, draining.id, primary);
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -148,5 +148,19 @@
       await advance(1000);
       expect(attempts).toBeGreaterThan(0);
     });
+
+    /** Load pattern: a rolling restart, in which members drain one after another, more than once. */
+    it.each<[string, Partial<MemberEntry>]>([
+      ['started again under its id', { incarnation: 2 }],
+      ['stopped draining', {}],
+    ])('waits as long if it drained before and then %s', async (_, changes) => {
+      await advance(1000);
+      members.set(PRIMARY, createEntry(PRIMARY, { role: 'primary', ...changes }));
+      await advance(60_000);
+      const before = attempts;
+      members.set(PRIMARY, createEntry(PRIMARY, { ...changes, role: 'primary', isDraining: true }));
+      await advance(1000);
+      expect(attempts).toBe(before);
+    });
   });
 });
