Divide rates anew when an instance comes back in another domain, or names read alike

What would be seen: instances divide a rate differently for as long as none is added or removed: one that has seen an instance in its earlier failure domain chooses other holders than one that started later, so that together they admit up to twice the rate of an organisation, or less than it.

Cause: a share is kept until the instances change, and only their names counted, joined by blanks. Domains and cores, from which holders are chosen, did not; and `a` with `b` read like `a b`.

Change: the key holds names, domains and cores, each in its own place.

Evidence: both tests of `rate shares` failed before (3 instances in place of 2; `a` still near). That two instances admit too much follows from the division; it was not measured.

--- a/packages/gateway/src/fleet/rate-share-allocator.ts
+++ b/packages/gateway/src/fleet/rate-share-allocator.ts
@@ -62,7 +62,10 @@
       if (now - lastListedAt > this.settleMs) this.counted.delete(id);
     }
     const mayUse = this.mayUseShare(instances.get(this.self), now);
-    const key = `${mayUse} ${[...this.counted.keys()].sort().join(' ')}`;
+    const places = [...this.counted.values()].map(({ id, domain, cores }) =>
+      JSON.stringify([id, domain, cores]),
+    );
+    const key = JSON.stringify([mayUse, places.sort()]);
     if (this.cached?.key === key) return this.cached.share;
     const holders = new Set([...this.counted.keys()]);
     const divide = this.createDivision(mayUse);
