Keep the records of groups whose names make no key of the store

What would be seen: a group whose name is longer than 179 bytes never gets a primary, and its statements are refused. The coordinator tries to record it ten times a second, with calls that the store refuses and counts; 40 such groups use up a budget of 400 writes per second, which the changes of all groups need. Two names with halves of different letter pairs share a record.

Cause: the key of a group's record is built from the group's name as it is; the store takes keys of up to 200 bytes of UTF-8.

Change: the key of such a group holds a hash of its name, and the record holds the name, which must fit the key.

The load on the store was computed from the interval of checks, not measured.

--- a/packages/gateway/src/failover/era-recovery.ts
+++ b/packages/gateway/src/failover/era-recovery.ts
@@ -12,6 +12,7 @@
 import type { LostRecord } from '../fleet/fleet-contents.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import {
+  encodePrimaryRecord,
   encodeRecord,
   ERA_KEY,
   formatInstanceKey,
@@ -277,6 +278,6 @@
   ): { key: string; value: Buffer } {
     const nextEpoch = computeNextEpoch(epoch, era);
     const record = { epoch: nextEpoch, previous: member, holders, endpoints };
-    return { key: formatPrimaryKey(group), value: encodeRecord(record) };
+    return { key: formatPrimaryKey(group), value: encodePrimaryRecord(group, record) };
   }
 }
--- a/packages/gateway/src/failover/primary-records.ts
+++ b/packages/gateway/src/failover/primary-records.ts
@@ -1,7 +1,7 @@
 import { computeNextEpoch, type GroupId, toMilliseconds } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { StoredRecord } from '../fleet/known-primaries.js';
-import { encodeRecord, formatPrimaryKey, type PrimaryRecord } from '../fleet/records.js';
+import { encodePrimaryRecord, formatPrimaryKey, type PrimaryRecord } from '../fleet/records.js';
 import type { ControlStore, StoreRevision } from '../ports/control-store.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { CoordinatorLease } from './coordinator-lease.js';
@@ -42,7 +42,7 @@
   const written = await store.commit(
     {
       expect: [lease.expectation, { key, revision: known?.revision ?? (0 as StoreRevision) }],
-      puts: [{ key, value: encodeRecord(value), lease: undefined }],
+      puts: [{ key, value: encodePrimaryRecord(group, value), lease: undefined }],
       removes: [],
     },
     STORE_CALL_TIMEOUT_MS,
--- a/packages/gateway/src/failover/record-recall.ts
+++ b/packages/gateway/src/failover/record-recall.ts
@@ -7,7 +7,7 @@
 } from '@heatherledge/core';
 import type { PeerBodyOf, PeerHub } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
-import { encodeRecord, formatPrimaryKey, SETTINGS_COPY_KEY } from '../fleet/records.js';
+import { encodePrimaryRecord, formatPrimaryKey, SETTINGS_COPY_KEY } from '../fleet/records.js';
 import type { PrimaryTracker } from '../members/primary-tracker.js';
 import type { StoreEra } from '../ports/control-store.js';
 import { type CoordinatorLease, LEASE_TTL_MS } from './coordinator-lease.js';
@@ -116,7 +116,10 @@
     const epochs = new Map(request.epochs);
     const records: StoredValue[] = [...view.primaries]
       .filter(([group, { value }]) => value.epoch > (epochs.get(group) ?? 0))
-      .map(([group, { value }]) => ({ key: formatPrimaryKey(group), value: encodeRecord(value) }));
+      .map(([group, { value }]) => ({
+        key: formatPrimaryKey(group),
+        value: encodePrimaryRecord(group, value),
+      }));
     records.push(...this.listAnnouncedChanges());
     const { settings, settingsValue } = view;
     if (settings !== undefined && settings.version > (request.settingsVersion ?? -1)) {
@@ -138,7 +141,7 @@
       if (epoch <= value.epoch) return [];
       const { member, previous, holders, endpoints } = value;
       const record = { epoch, previous: member ?? previous, holders, endpoints };
-      return [{ key: formatPrimaryKey(group), value: encodeRecord(record) }];
+      return [{ key: formatPrimaryKey(group), value: encodePrimaryRecord(group, record) }];
     });
   }
 }
--- a/packages/gateway/src/fleet/fleet-contents.ts
+++ b/packages/gateway/src/fleet/fleet-contents.ts
@@ -14,7 +14,7 @@
   COORDINATOR_KEY,
   type CoordinatorRecord,
   decodeRecord,
-  encodeRecord,
+  encodePrimaryRecord,
   ERA_KEY,
   type EraRecord,
   formatInstanceKey,
@@ -136,7 +136,7 @@
     else if (parsedKey?.kind === 'era') this.eraRecord = undefined;
     else if (parsedKey?.kind === 'settings') this.settings.remove('copy');
     else if (parsedKey?.kind === 'instance') this.instances.remove(parsedKey.id);
-    else if (parsedKey?.kind === 'primary') this.primaries.records.delete(parsedKey.group);
+    else if (parsedKey?.kind === 'primary') this.primaries.remove(key);
   }
 
   /**
@@ -171,7 +171,7 @@
     const lost = this.primaries.listLost().map(([group, { value, revision }]) => ({
       key: formatPrimaryKey(group),
       revision,
-      value: encodeRecord(value),
+      value: encodePrimaryRecord(group, value),
     }));
     const { value, isLost } = this.settings;
     if (!isLost || value === undefined) return lost;
--- a/packages/gateway/src/fleet/known-primaries.ts
+++ b/packages/gateway/src/fleet/known-primaries.ts
@@ -1,6 +1,6 @@
 import type { GroupId } from '@heatherledge/core';
 import type { StoreRevision } from '../ports/control-store.js';
-import type { PrimaryRecord } from './records.js';
+import { formatPrimaryKey, type PrimaryRecord } from './records.js';
 
 /** A decoded record with its revisions in the store. */
 export interface StoredRecord<Value> {
@@ -46,6 +46,13 @@
     );
   }
 
+  /** Handles the deletion of a record's key. */
+  remove(key: string): void {
+    for (const group of this.records.keys()) {
+      if (formatPrimaryKey(group) === key) this.records.delete(group);
+    }
+  }
+
   /**
    * Takes a record that another instance knows, or that follows from what members report.
    *
--- a/packages/gateway/src/fleet/records.ts
+++ b/packages/gateway/src/fleet/records.ts
@@ -1,4 +1,5 @@
-import type { GroupId, InstanceId, MemberId } from '@heatherledge/core';
+import { createHash } from 'node:crypto';
+import { type GroupId, type InstanceId, type MemberId, toBrand } from '@heatherledge/core';
 import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
 import type { LeaseId } from '../ports/control-store.js';
@@ -14,6 +15,10 @@
 const MAX_PORT = 65_535;
 const INSTANCE_PREFIX = `${RECORDS_PREFIX}instance/`;
 const PRIMARY_PREFIX = `${RECORDS_PREFIX}primary/`;
+/** The store's limit of the length of a key. */
+const MAX_KEY_BYTES = 200;
+/** Stands before the hash of a name that cannot be a part of a key. */
+const HASH_PREFIX = 'sha256:';
 
 const portSchema = z.int().min(1).max(MAX_PORT);
 const endpointSchema = z.object({ host: z.string(), port: portSchema });
@@ -35,6 +40,8 @@
   hasCoordinator: z.boolean(),
 });
 const primarySchema = z.object({
+  /** Name of the group, if the key does not hold it. */
+  group: z.string().optional(),
   /** Increases with each change of this record, in later eras of the store too. */
   epoch: z.number(),
   /** Id of the primary; left out while a change of primary is under way. */
@@ -59,7 +66,7 @@
 /** Tells whether the records in the store are complete. */
 export type EraRecord = z.infer<typeof eraSchema>;
 /** Names the primary of a group. */
-export type PrimaryRecord = z.infer<typeof primarySchema>;
+export type PrimaryRecord = Omit<z.infer<typeof primarySchema>, 'group'>;
 
 /** A decoded record of any kind, with what its key names. */
 export type FleetRecord =
@@ -83,22 +90,33 @@
   return `${INSTANCE_PREFIX}${id}`;
 }
 
-/** Formats the key of a group's primary record. */
+/** Formats the key of a group's primary record; it holds a hash of a name that makes no key. */
 export function formatPrimaryKey(group: GroupId): string {
-  return `${PRIMARY_PREFIX}${group}`;
+  if (mayBeInKey(group)) return `${PRIMARY_PREFIX}${group}`;
+  // JSON distinguishes letters that UTF-8 does not.
+  const hash = createHash('sha256').update(JSON.stringify(group)).digest('hex');
+  return `${PRIMARY_PREFIX}${HASH_PREFIX}${hash}`;
+}
+
+/** Checks whether the key of a group's record can hold the group's name as it is. */
+function mayBeInKey(group: GroupId): boolean {
+  const bytes = Buffer.from(`${PRIMARY_PREFIX}${group}`);
+  if (bytes.length > MAX_KEY_BYTES || group.startsWith(HASH_PREFIX)) return false;
+  return bytes.toString() === `${PRIMARY_PREFIX}${group}`;
 }
 
 /**
  * Parses the key of a record.
  *
  * @param key - a key in the store
- * @returns what the key names, or undefined if it belongs to no record of the gateway
+ * @returns what the key names, or undefined if it belongs to no record of the gateway; for a primary
+ *   record, the group's name or its hash
  */
 export function parseRecordKey(
   key: string,
 ):
   | { kind: 'instance'; id: InstanceId }
-  | { kind: 'primary'; group: GroupId }
+  | { kind: 'primary'; name: string }
   | { kind: 'coordinator' | 'era' | 'settings' }
   | undefined {
   if (key === COORDINATOR_KEY) return { kind: 'coordinator' };
@@ -108,7 +126,7 @@
     return { kind: 'instance', id: key.slice(INSTANCE_PREFIX.length) as InstanceId };
   }
   if (key.startsWith(PRIMARY_PREFIX)) {
-    return { kind: 'primary', group: key.slice(PRIMARY_PREFIX.length) as GroupId };
+    return { kind: 'primary', name: key.slice(PRIMARY_PREFIX.length) };
   }
   return undefined;
 }
@@ -119,11 +137,20 @@
  * @returns UTF-8 JSON
  */
 export function encodeRecord(
-  value: InstanceRecord | CoordinatorRecord | EraRecord | PrimaryRecord,
+  value: InstanceRecord | CoordinatorRecord | EraRecord | z.infer<typeof primarySchema>,
 ): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
 
+/**
+ * Encodes the record of a group's primary for the store, under the key of that group.
+ *
+ * @returns UTF-8 JSON
+ */
+export function encodePrimaryRecord(group: GroupId, record: PrimaryRecord): Buffer {
+  return encodeRecord(mayBeInKey(group) ? record : { group, ...record });
+}
+
 /**
  * Decodes and validates a record other than the copy of the settings.
  *
@@ -153,7 +180,11 @@
     case 'instance':
       return validate(instanceSchema, json).map((record) => ({ ...parsedKey, value: record }));
     case 'primary':
-      return validate(primarySchema, json).map((record) => ({ ...parsedKey, value: record }));
+      return validate(primarySchema, json).andThen(({ group: stored, ...value }) => {
+        const group = toBrand<GroupId>(stored ?? parsedKey.name);
+        if (formatPrimaryKey(group) !== key) return err('the key is not that of the group');
+        return ok({ kind: 'primary' as const, group, value });
+      });
   }
 }
 
