Understand messages between instances about any number of groups

What would be seen: with more than 10,000 groups or samples, checks at a relay are answered as unsupported, so that each instance checks the store itself; records that the store has lost are not recalled, and a list of them counts as no answer.

Cause: arrays in messages were limited to 10,000 elements. The limit protected nothing: arrays without one stand beside them, instances are authenticated, and the size of messages is limited.

Change: the limits are gone.

--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -106,7 +106,7 @@
   /** Requests a change of settings from a writer. */
   z.object({
     kind: z.literal('settings.write'),
-    changes: z.array(settingsChange).max(10_000),
+    changes: z.array(settingsChange),
     expectedRevision: z.number().optional(),
     changeId: z.string(),
     author: z.string(),
@@ -207,10 +207,10 @@
     kind: z.literal('store.check'),
     /** Era of the store that the revisions belong to; absent if the sender knows no eras. */
     era: z.number().optional(),
-    expectations: z.array(z.tuple([z.string(), z.number()])).max(10_000),
+    expectations: z.array(z.tuple([z.string(), z.number()])),
     /** Token of the receiver's last response; the samples' times count from it. */
     token: clockToken.optional(),
-    samples: z.array(groupSample).max(10_000).optional(),
+    samples: z.array(groupSample).optional(),
   }),
   z.object({
     kind: z.literal('store.checked'),
@@ -221,7 +221,7 @@
     /** Time since the check at the store. */
     ageMs: z.number().optional(),
     token: clockToken.optional(),
-    samples: z.array(groupSample).max(10_000).optional(),
+    samples: z.array(groupSample).optional(),
   }),
   /**
    * Requests records that the receiver knows in newer versions, after the store has returned from an
@@ -234,11 +234,11 @@
     /** Version of the settings that the sender knows; absent if it knows none. */
     settingsVersion: z.number().optional(),
     /** Highest epoch of each group's primary record that the sender knows. */
-    epochs: z.array(z.tuple([z.string(), z.number()])).max(10_000),
+    epochs: z.array(z.tuple([z.string(), z.number()])),
   }),
   z.object({
     kind: z.literal('records.recalled'),
-    records: z.array(storedValue).max(10_000),
+    records: z.array(storedValue),
     /** Time for which orders under a void lease may still take effect. */
     leaseMs: z.number(),
   }),
