Follow the other settings beside one odd route, group or tenant

What would be seen: all instances stay at the settings before, and go on to serve withdrawn keys and dropped routes until their time runs out; an instance that starts beside the entry has no settings at all.

Cause: the configuration was decoded as a whole, so that one entry decided over all.

Change: routes, groups and tenants are decoded one at a time. Those that cannot be are left out, logged with their place (the first ten, and their number) and never the contents. A configuration without a version or its lists is refused as before.

--- a/packages/core/src/serving/fleet-settings.ts
+++ b/packages/core/src/serving/fleet-settings.ts
@@ -49,6 +49,8 @@
   readonly organisationByKey: ReadonlyMap<KeyDigest, OrganisationId>;
   /** Time without a statement after which an open transaction may be ended. */
   readonly transactionIdleMs: Milliseconds;
+  /** Entries that cannot be used, each with its place and the reason; the others hold. */
+  readonly ignoredEntries?: readonly string[] | undefined;
 }
 
 /** Role that a member reports for itself. */
--- a/packages/gateway/src/fleet/known-settings.ts
+++ b/packages/gateway/src/fleet/known-settings.ts
@@ -12,6 +12,9 @@
   readonly version: number;
 }
 
+/** Ignored entries of the settings that are named in the log. */
+const MAX_LOGGED_ENTRIES = 10;
+
 /** Contents of a key that does not exist. */
 const NOTHING_STORED: StoredSettings = { revision: 0 as StoreRevision, version: -1 };
 
@@ -111,6 +114,11 @@
     this.current = settings;
     this.value = value;
     this.log.info('settings.applied', { version, ...origin, routes: routesByDatabase.size });
+    const { ignoredEntries: entries } = settings;
+    if (entries !== undefined) {
+      const first = entries.slice(0, MAX_LOGGED_ENTRIES);
+      this.log.warn('settings.entries.ignored', { version, count: entries.length, first });
+    }
     return true;
   }
 }
