Decode no long first message of whoever opens a link

What would be seen: anyone who reaches the port makes an instance decode up to 8 MiB in each first message, which holds up all callers meanwhile.

Cause: the limit of frames, meant for the messages of instances, was that of the first message too, which is decoded before the sender is known to hold the fleet's secret.

Change: a first message above 4 KiB closes the link. One takes about 250 bytes.

Evidence: `decodes no long first message` failed before: the link was closed at the end of the handshake's time only. The receiver still holds the bytes of the frame; the time that decoding takes was not measured.

--- a/packages/daemon/src/peers/peer-link.ts
+++ b/packages/daemon/src/peers/peer-link.ts
@@ -25,6 +25,8 @@
 
 /** Largest frame accepted from a peer; a larger one closes the link. */
 export const MAX_PEER_FRAME_BYTES = 8 * 1024 * 1024;
+/** Largest first message; it is decoded before the sender is known to hold the fleet's secret. */
+const MAX_HELLO_BYTES = 4096;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 
 /** Receives the events of links. */
@@ -167,6 +169,10 @@
 
   private receive(data: Buffer): void {
     this.bytesReceived += data.length;
+    if (!this.ready && data.length > MAX_HELLO_BYTES) {
+      this.refuse('the first message is too long');
+      return;
+    }
     const message = decodeFrame(data);
     if (!this.ready) {
       this.receiveHello(message);
--- a/packages/daemon/test/units/peer-hub.test.ts
+++ b/packages/daemon/test/units/peer-hub.test.ts
@@ -56,6 +56,20 @@
     expect(problems).toHaveLength(1);
   });
 
+  it('decodes no long first message', async () => {
+    const socket = new WebSocket(`ws://127.0.0.1:${port}`);
+    await new Promise((resolve) => {
+      socket.once('open', resolve);
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    const hello = { version: 1, instance: 'other', nonce: 'a'.repeat(32) };
+    socket.send(packr.pack({ ...hello, padding: new Uint8Array(10_000) }));
+    await closed;
+    expect(problems).toMatchObject([{ reason: 'the first message is too long' }]);
+  });
+
   /** The addresses of instances come from records in the store. */
   it.each(['no host', 'a/b#c', '127.0.0.1/path', 'user@127.0.0.1', '1.2.3.999', ''])(
     'takes an instance at the address %j for one that cannot be reached',
