Bind tokens of positions to one organisation and one group, whatever their names hold

What would be seen: a token that the daemon gave to a session of organisation 'a\0b' at group 'c' is accepted from organisation 'a' at group 'b\0c'; its reads then wait for a position of another log.

Cause: the authentication code covers both names with a separator that the names may hold.

Change: names that hold it are encoded as JSON, which never holds it. All other tokens stay as they are.

Evidence: `are valid for no other organisation and group` failed before for that pair. The second test holds the token of the code before.

--- a/packages/core/src/consistency/position-codec.ts
+++ b/packages/core/src/consistency/position-codec.ts
@@ -58,7 +58,10 @@
 
   private computeMac(organisation: OrganisationId, group: GroupId, body: string): Buffer {
     const mac = createHmac('sha256', this.secret);
-    mac.update(`${organisation}\0${group}\0${body}`);
+    const parts = [organisation, group, body];
+    // The separator is plain for names without it, so that earlier versions compute the same.
+    const isPlain = !parts.some((part) => part.includes('\0'));
+    mac.update(isPlain ? parts.join('\0') : JSON.stringify(parts));
     return mac.digest().subarray(0, MAC_BYTES);
   }
 }
