Forget control connections of members that are gone

What would be seen: the memory of a coordinator grows with each restart of a member, by a closed connection with its maps.

Cause: control connections are kept under id and incarnation, and a closed one was replaced only for the same incarnation.

Change: closed connections are removed whenever another one is opened.

Evidence: `forgets the connections of members that are gone` failed before, with 200 kept after 200 restarts.

--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -100,6 +100,11 @@
     return (Math.max(0, ...terms) + 1) as Term;
   }
 
+  /** @returns number of control connections that are kept */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /** Closes all control connections. */
   close(): void {
     for (const connection of this.connections.values()) connection.close();
@@ -110,6 +115,9 @@
     const key = `${entry.id}/${entry.incarnation}`;
     const existing = this.connections.get(key);
     if (existing !== undefined && !existing.isClosed) return existing;
+    for (const [other, { isClosed }] of this.connections) {
+      if (isClosed) this.connections.delete(other);
+    }
     const target = { entry, group: entry.group, organisation: this.chooseOrganisation() };
     const connection = new MemberConnection(this.connector, target, NOOP_LISTENER, this.clock);
     this.connections.set(key, connection);
