Tell parts of messages from messages without a full check

Each message between instances was first checked in full as a part, which fails with an error object. The presence of one field tells them apart.

--- a/packages/daemon/src/peers/message-parts.ts
+++ b/packages/daemon/src/peers/message-parts.ts
@@ -18,7 +18,7 @@
 const envelopeNumbers = { ask: z.number().optional(), answer: z.number().optional() };
 
 /** Frames that carry parts of messages; instances of earlier versions do not know them. */
-export const partFrameSchema = z.discriminatedUnion('frame', [
+const partFrameSchema = z.discriminatedUnion('frame', [
   z.object({
     frame: z.literal('part'),
     /** Number of the message among those that the link's end sends in parts. */
@@ -39,6 +39,16 @@
 /** A frame that carries a part of a message, or what becomes of such a message. */
 export type PartFrame = z.infer<typeof partFrameSchema>;
 
+/**
+ * @param message - a decoded frame
+ * @returns the frame, or undefined if it is a message or malformed; messages are told apart without a full
+ *   check, since nearly all frames are messages
+ */
+export function decodePartFrame(message: unknown): PartFrame | undefined {
+  if (typeof message !== 'object' || message === null || !('frame' in message)) return undefined;
+  return partFrameSchema.safeParse(message).data;
+}
+
 type Part = Extract<PartFrame, { frame: 'part' }>;
 
 interface OutgoingMessage {
--- a/packages/daemon/src/peers/peer-link.ts
+++ b/packages/daemon/src/peers/peer-link.ts
@@ -4,13 +4,13 @@
 import { Packr } from 'msgpackr';
 import { WebSocket } from 'ws';
 import {
+  decodePartFrame,
   type EnvelopeNumbers,
   IncomingParts,
   type IncompleteMessageMemory,
   MAX_PART_BYTES,
   OutgoingParts,
   type PartFrame,
-  partFrameSchema,
 } from './message-parts.js';
 import {
   type Envelope,
@@ -178,8 +178,8 @@
       this.receiveHello(message);
       return;
     }
-    const frame = partFrameSchema.safeParse(message);
-    if (frame.success) this.receivePart(frame.data);
+    const frame = decodePartFrame(message);
+    if (frame !== undefined) this.receivePart(frame);
     else this.receiveMessage(message);
   }
 
