--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -105,6 +105,7 @@
       .enum([
         'timeout',
         'unreachable',
+        'too-large',
         'wrong-member',
         'overloaded',
         'closed',
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -7,8 +7,14 @@
 /** Messages that host members' connections; instances of earlier versions do not know them. */
 export const MEMBER_HOSTING_FEATURE = 'member-hosting';
 
+/** Large messages in parts; instances of earlier versions accept none above the size of a frame. */
+export const MESSAGE_PARTS_FEATURE = 'message-parts';
+
 /** Optional parts of the protocol that this version supports. */
-export const SUPPORTED_FEATURES: readonly string[] = [MEMBER_HOSTING_FEATURE];
+export const SUPPORTED_FEATURES: readonly string[] = [
+  MEMBER_HOSTING_FEATURE,
+  MESSAGE_PARTS_FEATURE,
+];
 
 /** Status of a member as one watcher received it. */
 const memberStatus = z.object({
@@ -100,7 +106,7 @@
   /** Requests a change of settings from a writer. */
   z.object({
     kind: z.literal('settings.write'),
-    changes: z.array(settingsChange).max(10_000),
+    changes: z.array(settingsChange),
     expectedRevision: z.number().optional(),
     changeId: z.string(),
     author: z.string(),
@@ -201,10 +207,10 @@
     kind: z.literal('store.check'),
     /** Era of the store that the revisions belong to; absent if the sender knows no eras. */
     era: z.number().optional(),
-    expectations: z.array(z.tuple([z.string(), z.number()])).max(10_000),
+    expectations: z.array(z.tuple([z.string(), z.number()])),
     /** Token of the receiver's last response; the samples' times count from it. */
     token: clockToken.optional(),
-    samples: z.array(groupSample).max(10_000).optional(),
+    samples: z.array(groupSample).optional(),
   }),
   z.object({
     kind: z.literal('store.checked'),
@@ -215,7 +221,7 @@
     /** Time since the check at the store. */
     ageMs: z.number().optional(),
     token: clockToken.optional(),
-    samples: z.array(groupSample).max(10_000).optional(),
+    samples: z.array(groupSample).optional(),
   }),
   /**
    * Requests records that the receiver knows in newer versions, after the store has returned from an
@@ -228,11 +234,11 @@
     /** Version of the settings that the sender knows; absent if it knows none. */
     settingsVersion: z.number().optional(),
     /** Highest epoch of each group's primary record that the sender knows. */
-    epochs: z.array(z.tuple([z.string(), z.number()])).max(10_000),
+    epochs: z.array(z.tuple([z.string(), z.number()])),
   }),
   z.object({
     kind: z.literal('records.recalled'),
-    records: z.array(storedValue).max(10_000),
+    records: z.array(storedValue),
     /** Time for which orders under a void lease may still take effect. */
     leaseMs: z.number(),
   }),
@@ -257,8 +263,12 @@
 export const helloSchema = z.object({
   version: z.literal(PEER_PROTOCOL_VERSION),
   instance: z.string().min(1).max(200),
-  nonce: z.string().length(32),
-  proof: z.string().length(64).optional(),
+  nonce: z.string().regex(/^[\da-f]{32}$/),
+  // Its length in bytes must be that of the expected one, or the comparison throws.
+  proof: z
+    .string()
+    .regex(/^[\da-f]{64}$/)
+    .optional(),
   /** Optional parts of the protocol that the sender supports; unknown ones are ignored. */
   features: z.array(z.string()).max(32).optional(),
 });
--- a/packages/gateway/src/failover/member-control.ts
+++ b/packages/gateway/src/failover/member-control.ts
@@ -105,6 +105,11 @@
     return (Math.max(0, ...terms) + 1) as Term;
   }
 
+  /** @returns number of control connections that are kept */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /** Closes all control connections. */
   close(): void {
     for (const connection of this.connections.values()) connection.close();
@@ -115,6 +120,9 @@
     const key = `${entry.id}/${entry.incarnation}`;
     const existing = this.connections.get(key);
     if (existing !== undefined && !existing.isClosed) return existing;
+    for (const [other, { isClosed }] of this.connections) {
+      if (isClosed) this.connections.delete(other);
+    }
     const targets = this.listOrganisations().map((organisation) =>
       createTarget(entry, organisation),
     );
