Keep session parameters in the stand-in member, and refuse a name that is prepared already

A member of the stand-ins answered SET, RESET and SHOW without any effect, and replaced a prepared statement whose name existed. PostgreSQL keeps parameters for a session, undoes those of a transaction that is rolled back, leaves the role as it is on RESET ALL, and refuses such a name with 42P05. State that one caller leaves to the next on a pooled connection could not be seen in tests. The control functions move to a file of their own.

--- a/packages/stand-ins/src/member/member-session.ts
+++ b/packages/stand-ins/src/member/member-session.ts
@@ -1,5 +1,4 @@
 import type { Socket } from 'node:net';
-import type { InstanceId, MemberId, Term } from '@heatherledge/core';
 import {
   BackendCode,
   type Frame,
@@ -23,9 +22,10 @@
   parseText,
   type TransactionStatus,
 } from '@heatherledge/wire';
+import { runControl } from './control-functions.js';
 import { CONTROL_USER } from './member-config.js';
 import type { Member, WriteTransaction } from './member.js';
-import { evaluate } from './sql/evaluate.js';
+import { SessionParameters } from './session-parameters.js';
 import type { ResultColumn, StatementResult } from './sql/execute-select.js';
 import {
   countParameters,
@@ -60,32 +60,6 @@
   readonly params: readonly SqlValue[];
 }
 
-type ControlHandler = (member: Member, args: readonly SqlValue[]) => Promise<unknown>;
-
-/** The SQL functions `heatherledge.NAME(...)`; each returns JSON in one text column. */
-const CONTROL_FUNCTIONS: Record<string, ControlHandler> = {
-  status: async (member) => ({ accepted: true, status: member.status }),
-  confirm: async (member, [timeout]) => member.confirm(Number(timeout)),
-  await: async (member, [term, position, timeout]) =>
-    member.waitForPosition(Number(term), Number(position), Number(timeout)),
-  fence: async (member, [term, by]) => {
-    const accepted = member.fence(Number(term) as Term, String(by) as InstanceId);
-    return { accepted, status: member.status };
-  },
-  promote: async (member, [term, by]) => {
-    const accepted = member.promote(Number(term) as Term, String(by) as InstanceId);
-    return { accepted, status: member.status };
-  },
-  follow: async (member, [term, primary]) => {
-    const accepted = member.follow(Number(term) as Term, String(primary) as MemberId);
-    return { accepted, status: member.status };
-  },
-  quiesce: async (member, [term, forMs]) => {
-    const accepted = member.quiesce(Number(term) as Term, Number(forMs));
-    return { accepted, status: member.status };
-  },
-};
-
 /** A session over PostgreSQL's protocol; messages are handled one at a time, in order. */
 export class MemberSession {
   isControl = false;
@@ -104,6 +78,8 @@
 
   private readonly portals = new Map<string, Portal>();
 
+  private readonly parameters = new SessionParameters();
+
   private isInTransactionBlock = false;
 
   private isTransactionFailed = false;
@@ -255,6 +231,9 @@
     const { name, text } = parseParseMessage(bytes);
     const statements = parseStatements(text);
     if (statements.length > 1) throw new SqlError('42601', 'one statement at a time');
+    if (name !== '' && this.statements.has(name)) {
+      throw new SqlError('42P05', `prepared statement "${name}" already exists`);
+    }
     this.statements.set(name, statements[0]);
     this.socket.write(createEmptyMessage(BackendCode.ParseComplete));
   }
@@ -308,6 +287,7 @@
     switch (statement.kind) {
       case 'begin':
         this.isInTransactionBlock = true;
+        this.parameters.begin();
         return { tag: 'BEGIN', rows: [] };
       case 'commit':
         return this.commit();
@@ -317,7 +297,7 @@
       case 'control':
         return runControl(this.host.member, statement, params);
       case 'session':
-        return { tag: 'SET', rows: [] };
+        return this.parameters.execute(statement, params, this.isInTransactionBlock);
       case 'read':
         await sleepIfRequested(statement);
         return executeStatement(statement, { params, tables: this.tables });
@@ -348,6 +328,7 @@
       return { tag: 'ROLLBACK', rows: [] };
     }
     this.isInTransactionBlock = false;
+    this.parameters.commit();
     this.commitWrite();
     return { tag: 'COMMIT', rows: [] };
   }
@@ -359,6 +340,7 @@
   }
 
   private rollbackTransaction(): void {
+    this.parameters.rollback();
     this.isInTransactionBlock = false;
     this.isTransactionFailed = false;
     if (this.writeTransaction !== undefined) this.host.member.rollback(this.writeTransaction);
@@ -422,20 +404,6 @@
   return columns.map(({ name, type }) => ({ name, typeOid: TYPE_OIDS[type] }));
 }
 
-async function runControl(
-  member: Member,
-  statement: Statement,
-  params: readonly SqlValue[],
-): Promise<StatementResult> {
-  const call = statement.body.targetList[0].ResTarget.val.FuncCall;
-  const name = call.funcname.at(-1).String.sval as string;
-  const handler = CONTROL_FUNCTIONS[name];
-  if (handler === undefined) throw new SqlError('42883', `function ${name} does not exist`);
-  const args = (call.args ?? []).map((arg: unknown) => evaluate(arg, { params }));
-  const reply = JSON.stringify(await handler(member, args));
-  return { tag: 'SELECT 1', columns: [{ name: 'answer', type: 'text' }], rows: [[reply]] };
-}
-
 async function sleepIfRequested(statement: Statement): Promise<void> {
   const call = statement.body.targetList?.[0]?.ResTarget?.val?.FuncCall;
   if (call?.funcname.at(-1).String.sval !== 'pg_sleep') return;
--- a/packages/stand-ins/src/member/sql/statement.ts
+++ b/packages/stand-ins/src/member/sql/statement.ts
@@ -22,7 +22,7 @@
 /**
  * Class of a statement, by which the member decides how to run it. `read` is a SELECT; `write`
  * changes data or locks rows; `control` calls a function of the schema `heatherledge`; `session` is
- * any other statement and has no effect.
+ * any other statement; only those that set or show session parameters have an effect.
  */
 export type StatementKind =
   'read' | 'write' | 'begin' | 'commit' | 'rollback' | 'control' | 'session';
@@ -106,6 +106,7 @@
 ): readonly ResultColumn[] | undefined {
   const { body } = statement;
   if (statement.kind === 'control') return [{ name: 'answer', type: 'text' }];
+  if (statement.nodeType === 'VariableShowStmt') return [{ name: body.name, type: 'text' }];
   if (statement.kind === 'read') {
     const name = body.fromClause?.[0]?.RangeVar?.relname as string | undefined;
     return describeTargets(body.targetList ?? [], name ? tables.getDefinition(name) : undefined);
@@ -136,6 +137,7 @@
   if (nodeType === 'SelectStmt') {
     if (body.lockingClause) return 'write';
     const call = body.targetList?.[0]?.ResTarget?.val?.FuncCall;
+    if (call?.funcname.at(-1)?.String?.sval === 'set_config') return 'session';
     const isControl = call?.funcname[0]?.String?.sval === 'heatherledge';
     return isControl ? 'control' : 'read';
   }
