Run each prepared statement in the text that it had when it was bound

Five faults of one cause: what a name stands for was looked up in the session's or the connection's present state.

After a request that failed before it, every later use on that connection was refused with 26000 'prepared statement hl_... does not exist'. - A text that is not UTF-8 was accepted; the code decodes it with replacement characters and sends those on.

Now a request is read only when the former ones are done, and each message keeps the definition in force at its place. A statement counts as prepared when the member confirms it. Names and texts that are not UTF-8 are refused as not run, as PostgreSQL does.

--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -25,12 +25,7 @@
 import type { CallerState } from './caller-state.js';
 import { LeaseSource } from './lease-source.js';
 import { ReadExecutor } from './read-executor.js';
-import {
-  createExtendedRequest,
-  createLocalResponse,
-  createSimpleRequest,
-  type CallerRequest,
-} from './caller-request.js';
+import { createLocalResponse, createRequest, type CallerRequest } from './caller-request.js';
 import type { ServingContext } from './serving-context.js';
 import { TransactionExecutor } from './transaction-executor.js';
 
@@ -61,7 +56,8 @@
 
   private readonly transactions: TransactionExecutor;
 
-  private queue: CallerRequest[] = [];
+  /** Messages of the waiting requests. */
+  private queue: (readonly Frame[])[] = [];
 
   /** Messages of the extended protocol since the last Sync. */
   private extendedFrames: Frame[] = [];
@@ -93,11 +89,11 @@
   receive(frame: Frame): void {
     switch (frame.type) {
       case FrontendCode.Query:
-        this.enqueue(createSimpleRequest(copyFrame(frame)));
+        this.enqueue([copyFrame(frame)]);
         break;
       case FrontendCode.Sync:
         this.extendedFrames.push(copyFrame(frame));
-        this.enqueue(createExtendedRequest(this.extendedFrames, this.state.statements));
+        this.enqueue(this.extendedFrames);
         this.extendedFrames = [];
         break;
       case FrontendCode.Parse:
@@ -158,9 +154,9 @@
     this.transactions.abandon();
   }
 
-  private enqueue(request: CallerRequest): void {
+  private enqueue(frames: readonly Frame[]): void {
     if (this.ended) return;
-    this.queue.push(request);
+    this.queue.push(frames);
     if (this.queue.length >= MAX_QUEUED_REQUESTS) this.transport.setPaused(true);
     if (!this.running) void this.runQueue();
   }
@@ -168,20 +164,20 @@
   private async runQueue(): Promise<void> {
     this.running = true;
     for (;;) {
-      const request = this.queue.shift();
-      if (request === undefined || this.ended) break;
-      await this.runRequest(request);
+      const frames = this.queue.shift();
+      if (frames === undefined || this.ended) break;
+      await this.runRequest(frames);
       if (this.queue.length === 0) this.transport.setPaused(false);
     }
     this.running = false;
     this.lastActiveAt = this.context.clock.now();
   }
 
-  private async runRequest(request: CallerRequest): Promise<void> {
+  private async runRequest(frames: readonly Frame[]): Promise<void> {
     const startedAt = this.context.clock.now();
     try {
       this.checkKey();
-      await this.dispatchRequest(request);
+      await this.dispatchRequest(createRequest(frames, this.state.statements));
     } catch (error) {
       await this.handleError(error);
     }
@@ -202,6 +198,9 @@
   }
 
   private async dispatchRequest(request: CallerRequest): Promise<void> {
+    if (!request.isReadable) {
+      throw ProxyError.create(featureRefused, { reason: 'text that is not UTF-8' });
+    }
     const classes = request.texts.flatMap((text) => this.context.classifier.classify(text));
     this.applyComments(request);
     const refusedStatement = classes.find((item) => item.kind === 'refused');
--- a/packages/daemon/src/callers/read-executor.ts
+++ b/packages/daemon/src/callers/read-executor.ts
@@ -14,11 +14,8 @@
 import type { CallerState } from './caller-state.js';
 import type { ConnectionLease } from './connection-lease.js';
 import type { LeaseSource } from './lease-source.js';
-import {
-  createUpstreamRequest,
-  type CallerRequest,
-  type UpstreamRequest,
-} from './caller-request.js';
+import type { CallerRequest } from './caller-request.js';
+import { createUpstreamRequest, type UpstreamRequest } from './request-rewriter.js';
 import type { ServingContext } from './serving-context.js';
 
 /** Result of running a read at one member. */
@@ -167,8 +164,8 @@
   }
 
   private prepareRequest(callerRequest: CallerRequest, lease: ConnectionLease): PreparedRequest {
-    const statementNames = lease.connection.preparedNames;
-    const request = createUpstreamRequest(callerRequest, this.state.statements, statementNames);
+    const { prepared, parameterScope } = lease.connection;
+    const request = createUpstreamRequest(callerRequest, prepared, parameterScope);
     return { request, sink: new ResponseWriter(this.output, request, false) };
   }
 
--- a/packages/daemon/src/callers/response-writer.ts
+++ b/packages/daemon/src/callers/response-writer.ts
@@ -6,7 +6,7 @@
   parseErrorResponse,
 } from '@heatherledge/wire';
 import type { ResponseSink } from '../upstreams/upstream-connection.js';
-import type { UpstreamRequest } from './caller-request.js';
+import type { UpstreamRequest } from './request-rewriter.js';
 
 /** SQLSTATE with which a read-only member refuses a write. */
 export const READ_ONLY_SQLSTATE = '25006';
@@ -164,6 +164,7 @@
   private isHidden({ type }: Frame): boolean {
     if (type === BackendCode.ParameterStatus) return true;
     if (type === BackendCode.ParseComplete) {
+      this.request.onParsed?.(this.parseCompleteCount);
       this.parseCompleteCount += 1;
       return this.request.hideParse[this.parseCompleteCount - 1] ?? false;
     }
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -23,7 +23,8 @@
   ROLLED_BACK_REASON,
 } from './commit-executor.js';
 import { type OutcomeKey, OutcomeExists, writeOutcome } from './outcome-records.js';
-import { createUpstreamRequest, type CallerRequest } from './caller-request.js';
+import type { CallerRequest } from './caller-request.js';
+import { createUpstreamRequest } from './request-rewriter.js';
 import type { ServingContext } from './serving-context.js';
 
 /** A transaction that the caller has opened. */
@@ -442,8 +443,8 @@
     lease: ConnectionLease,
     hidesReadOnlyError: boolean,
   ): { sink: ResponseWriter; request: ReturnType<typeof createUpstreamRequest> } {
-    const statementNames = lease.connection.preparedNames;
-    const request = createUpstreamRequest(callerRequest, this.state.statements, statementNames);
+    const { prepared, parameterScope } = lease.connection;
+    const request = createUpstreamRequest(callerRequest, prepared, parameterScope);
     return { request, sink: new ResponseWriter(this.output, request, hidesReadOnlyError) };
   }
 }
--- a/packages/daemon/src/upstreams/upstream-connection.ts
+++ b/packages/daemon/src/upstreams/upstream-connection.ts
@@ -10,6 +10,7 @@
   type TransactionStatus,
 } from '@heatherledge/wire';
 import { serialize } from 'pg-protocol';
+import { PreparedStatements } from './prepared-statements.js';
 
 const MAX_MESSAGE_BYTES = 1024 * 1024 * 1024;
 
@@ -63,8 +64,8 @@
 
 /** A connection to a member, used by one request or transaction at a time. */
 export class UpstreamConnection {
-  /** Names of the prepared statements that exist on the connection. */
-  readonly preparedNames = new Set<string>();
+  /** Prepared statements that exist on the connection. */
+  readonly prepared = new PreparedStatements();
 
   /** Session parameters that were last applied, as one SQL text. */
   appliedParameters = '';
@@ -107,6 +108,11 @@
     }
   }
 
+  /** @returns text that identifies the session parameters in force */
+  get parameterScope(): string {
+    return this.appliedParameters;
+  }
+
   /** @returns whether the connection is open and no request runs on it */
   get isUsable(): boolean {
     return this.lostError === undefined && this.pendingExchanges.length === 0;
