Keep a session's parameters to the session that sets them

Options were searched for the proxy's parameters anywhere, so the value of another one could set them (application_name=x-cheatherledge.max_age_ms=6). - SHOW heatherledge.constructor ended in an internal error, as names were looked up in an object with a prototype.

Cause: the record of what is set on a connection was what the proxy had sent itself, not what statements had done.

Now a connection whose parameters a statement may have changed is reset before its next use, user and role included. What a session sets is applied in its order, one line each, at the member also within a transaction, and undone with it. Startup parameters are session parameters; one that cannot be applied is refused. SET beside other statements, set_config beyond the transaction, and what would make a member read a text differently from the classifier (standard_conforming_strings = off, client_encoding other than UTF-8) are refused as not run: with the former, SELECT '\' , '; DELETE FROM items; --' is one read for the classifier and a deletion for the member. Literals with backslashes are quoted so that they mean the same under both. BEGIN is sent in its own statement's text, not in that of the first statement of its request. Calls that run other code (DO, CALL) are followed by a reset too; functions of callers that set parameters are not known.

--- a/packages/daemon/src/callers/caller-connection.ts
+++ b/packages/daemon/src/callers/caller-connection.ts
@@ -32,7 +32,6 @@
   parseStartup,
   parseText,
 } from '@heatherledge/wire';
-import { PROXY_PARAMETER_PREFIX } from '../sql/statement-classifier.js';
 import { CallerSession, formatError, type SessionTransport } from './caller-session.js';
 import { CallerState } from './caller-state.js';
 import type { ServingContext } from './serving-context.js';
@@ -275,25 +274,13 @@
     registry.context.useGroup(route.group);
     const state = new CallerState(organisation, route.group, digest);
     const session = new CallerSession(registry.context, state, this, registry.instance);
-    this.applyStartupParameters(session);
+    session.applyStartupParameters(this.parameters);
     this.session = session;
     this.stage = 'serving';
     const { processId, secret } = registry.register(this);
     this.socket.write(createSessionStart(processId, secret));
   }
 
-  private applyStartupParameters(session: CallerSession): void {
-    for (const [name, value] of this.parameters) {
-      if (name.startsWith(PROXY_PARAMETER_PREFIX)) {
-        session.setParameter(name.slice(PROXY_PARAMETER_PREFIX.length), value);
-      }
-    }
-    const options = this.parameters.get('options') ?? '';
-    for (const match of options.matchAll(/-c\s*heatherledge\.(\w+)=(\S*)/g)) {
-      session.setParameter(match[1] ?? '', match[2] ?? '');
-    }
-  }
-
   private refuse(error: ProxyError): void {
     if (this.stage === 'ended') return;
     this.registry.context.countError(error.entry.name);
--- a/packages/daemon/src/callers/caller-request.ts
+++ b/packages/daemon/src/callers/caller-request.ts
@@ -36,6 +36,8 @@
   readonly texts: readonly string[];
   /** Whether its texts and names are valid UTF-8, so that they can be sent on unchanged. */
   readonly isReadable: boolean;
+  /** Whether it may leave other session parameters on its connection. */
+  readonly changesParameters?: boolean;
 }
 
 /**
--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -5,8 +5,6 @@
   keyRejected,
   keyWithdrawn,
   type Milliseconds,
-  parameterRejected,
-  positionRejected,
   protocolViolation,
   ProxyError,
   settingsStale,
@@ -19,14 +17,18 @@
   FrontendCode,
 } from '@heatherledge/wire';
 import { parseComment } from '../sql/comment-parameters.js';
-import { PROXY_PARAMETER_PREFIX, type StatementClass } from '../sql/statement-classifier.js';
+import { PROXY_PARAMETER_PREFIX } from '../sql/parameter-statements.js';
+import type { StatementClass } from '../sql/statement-classifier.js';
 import { UpstreamFailure } from '../upstreams/upstream-connection.js';
 import type { CallerOutput } from './response-writer.js';
 import type { CallerState } from './caller-state.js';
 import { LeaseSource } from './lease-source.js';
 import { ReadExecutor } from './read-executor.js';
-import { createLocalResponse, createRequest, type CallerRequest } from './caller-request.js';
+import { createRequest, type CallerRequest } from './caller-request.js';
+import { LocalStatements } from './local-statements.js';
+import { ProxyParameters } from './proxy-parameters.js';
 import type { ServingContext } from './serving-context.js';
+import { listStartupParameters } from './startup-parameters.js';
 import { TransactionExecutor } from './transaction-executor.js';
 
 /** The part of a connection that its session uses. */
@@ -47,8 +49,14 @@
   'ProtocolViolation',
 ]);
 const ABORTED_TRANSACTION_ERROR = { code: '25P02', message: 'current transaction is aborted' };
-const MAX_IDEMPOTENCY_KEY_LENGTH = 200;
-const MAX_ACCEPTED_AGE_MS = 86_400_000;
+/** Statements that the proxy keeps for a session, which have to stand alone in a request. */
+const SESSION_STATEMENT_KINDS = new Set([
+  'set-proxy',
+  'show-proxy',
+  'set-session',
+  'reset-session',
+  'discard',
+]);
 
 /** Runs the requests of a logged-in caller one after another. */
 export class CallerSession {
@@ -56,6 +64,10 @@
 
   private readonly transactions: TransactionExecutor;
 
+  private readonly parameters: ProxyParameters;
+
+  private readonly local: LocalStatements;
+
   /** Messages of the waiting requests. */
   private queue: (readonly Frame[])[] = [];
 
@@ -78,6 +90,8 @@
     const leases = new LeaseSource(context, state);
     this.reads = new ReadExecutor(context, state, leases, transport);
     this.transactions = new TransactionExecutor(context, state, leases, transport);
+    this.parameters = new ProxyParameters(state, context.codec, instance);
+    this.local = new LocalStatements(state, this.parameters, this.transactions, transport);
     this.lastActiveAt = context.clock.now();
   }
 
@@ -115,6 +129,18 @@
     }
   }
 
+  /**
+   * Applies the parameters of the startup packet.
+   *
+   * @param parameters - its parameters by name
+   * @throws ProxyError if one of them cannot be applied
+   */
+  applyStartupParameters(parameters: ReadonlyMap<string, string>): void {
+    for (const parameter of listStartupParameters(parameters)) {
+      this.local.applyStartupParameter(parameter);
+    }
+  }
+
   /** @returns whether no request is running or queued and no transaction is open */
   get isIdle(): boolean {
     return !this.running && this.queue.length === 0 && this.transactions.status === 'idle';
@@ -207,17 +233,20 @@
     if (refusedStatement?.kind === 'refused') {
       throw ProxyError.create(featureRefused, { reason: refusedStatement.feature });
     }
+    if (classes.length > 1 && classes.some(({ kind }) => SESSION_STATEMENT_KINDS.has(kind))) {
+      throw ProxyError.create(featureRefused, { reason: 'SET together with other statements' });
+    }
     const single = classes.length === 1 ? classes[0] : undefined;
     if (classes.length === 0) await this.runWithoutStatement(request);
-    else if (single !== undefined && isLocal(single)) await this.runLocally(request, single);
-    else await this.runAtMember(request, classes);
+    else if (single !== undefined && isLocal(single)) await this.local.run(request, single);
+    else await this.runAtMember(markRequest(request, classes), classes);
   }
 
   private applyComments(request: CallerRequest): void {
     for (const text of request.texts) {
       const { idempotencyKey, maxAgeMs } = parseComment(text);
-      if (idempotencyKey !== undefined) this.setParameter('idempotency_key', idempotencyKey);
-      if (maxAgeMs !== undefined) this.setParameter('max_age_ms', maxAgeMs);
+      if (idempotencyKey !== undefined) this.parameters.set('idempotency_key', idempotencyKey);
+      if (maxAgeMs !== undefined) this.parameters.set('max_age_ms', maxAgeMs);
     }
   }
 
@@ -247,88 +276,9 @@
     else await this.transactions.runOutsideTransaction(request);
   }
 
-  private async runLocally(request: CallerRequest, statement: StatementClass): Promise<void> {
-    switch (statement.kind) {
-      case 'begin':
-        if (this.transactions.status === 'idle') {
-          this.transactions.begin(request.texts[0] ?? 'BEGIN');
-        }
-        this.sendResponse(request, 'BEGIN');
-        break;
-      case 'commit':
-        this.sendResponse(request, await this.transactions.commit());
-        break;
-      case 'rollback':
-        await this.transactions.rollback();
-        this.sendResponse(request, 'ROLLBACK');
-        break;
-      case 'set-proxy':
-        this.setParameter(statement.name, statement.value);
-        this.sendResponse(request, 'SET');
-        break;
-      case 'show-proxy':
-        this.sendParameter(request, statement.name);
-        break;
-      case 'set-session':
-        this.state.parameters.set(statement.name, statement.text);
-        this.sendResponse(request, 'SET');
-        break;
-      default:
-        this.state.parameters.clear();
-        this.sendResponse(request, 'RESET');
-    }
-  }
-
-  private sendResponse(request: CallerRequest, tag: string): void {
-    this.transport.write(createLocalResponse(request, tag));
-  }
-
-  private sendParameter(request: CallerRequest, name: string): void {
-    const { maxAgeMs, idempotencyKey } = this.state;
-    const values: Record<string, string> = {
-      position: this.sealPosition() ?? '',
-      max_age_ms: maxAgeMs === undefined ? '' : String(maxAgeMs),
-      idempotency_key: idempotencyKey ?? '',
-      instance: this.instance,
-    };
-    const value = values[name];
-    if (value === undefined) throw createParameterError(name, 'is not a parameter of the proxy');
-    const row = { column: `${PROXY_PARAMETER_PREFIX}${name}`, value };
-    this.transport.write(createLocalResponse(request, 'SHOW', row));
-  }
-
-  /**
-   * Sets one of the proxy's parameters.
-   *
-   * @param name - name without the prefix
-   * @param value - value as text
-   * @throws ProxyError if the parameter does not exist or the value is invalid
-   */
-  setParameter(name: string, value: string): void {
-    if (name === 'position') this.setPosition(value);
-    else if (name === 'max_age_ms') this.state.maxAgeMs = parseMaxAge(value);
-    else if (name === 'idempotency_key') this.setKey(value);
-    else throw createParameterError(name, 'is not a parameter of the proxy');
-  }
-
-  private setPosition(token: string): void {
-    if (token === '') return;
-    const { organisation, group } = this.state;
-    const position = this.context.codec.decode(organisation, group, token);
-    if (position === undefined) throw ProxyError.create(positionRejected, undefined);
-    this.state.advancePosition(position);
-  }
-
-  private setKey(key: string): void {
-    if (key.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
-      throw createParameterError('idempotency_key', `is longer than ${MAX_IDEMPOTENCY_KEY_LENGTH}`);
-    }
-    this.state.idempotencyKey = key === '' ? undefined : key;
-  }
-
   private sendPosition(): void {
     if (this.state.takeUnreportedPosition() === undefined) return;
-    const positionToken = this.sealPosition();
+    const positionToken = this.parameters.sealPosition();
     if (positionToken !== undefined) {
       this.transport.write(
         createParameterStatus(`${PROXY_PARAMETER_PREFIX}position`, positionToken),
@@ -336,11 +286,6 @@
     }
   }
 
-  private sealPosition(): string | undefined {
-    const { organisation, group, position } = this.state;
-    return position && this.context.codec.encode(organisation, group, position);
-  }
-
   private async handleError(error: unknown): Promise<void> {
     if (error instanceof ProxyError) {
       if (FATAL_ERROR_NAMES.has(error.entry.name)) {
@@ -389,21 +334,14 @@
   return { type: frame.type, bytes: Buffer.from(frame.bytes) };
 }
 
-function isLocal(statement: StatementClass): boolean {
-  return !['read', 'write', 'invalid', 'refused'].includes(statement.kind);
-}
-
-function createParameterError(name: string, problem: string): ProxyError {
-  return ProxyError.create(parameterRejected, {
-    reason: `${PROXY_PARAMETER_PREFIX}${name} ${problem}`,
-  });
+/** Marks a request if one of its statements may leave session parameters on its connection. */
+function markRequest(request: CallerRequest, classes: readonly StatementClass[]): CallerRequest {
+  const changesParameters = classes.some(
+    (item) => 'changesParameters' in item && item.changesParameters === true,
+  );
+  return changesParameters ? { ...request, changesParameters } : request;
 }
 
-function parseMaxAge(value: string): number | undefined {
-  if (value === '') return undefined;
-  const age = Number(value);
-  if (!Number.isFinite(age) || age < 0 || age > MAX_ACCEPTED_AGE_MS) {
-    throw createParameterError('max_age_ms', `must be from 0 to ${MAX_ACCEPTED_AGE_MS}`);
-  }
-  return age;
+function isLocal(statement: StatementClass): boolean {
+  return !['read', 'write', 'invalid', 'refused'].includes(statement.kind);
 }
--- a/packages/daemon/src/callers/caller-state.ts
+++ b/packages/daemon/src/callers/caller-state.ts
@@ -21,8 +21,11 @@
   /** Prepared statements by the caller's names. */
   readonly statements: SessionStatements = new Map();
 
-  /** Session parameters that the caller has set: SQL statement by parameter name. */
-  readonly parameters = new Map<string, string>();
+  /** Session parameters that the caller has set: SQL statement by name, in the order of the last SET. */
+  private parameters: ReadonlyMap<string, string> = new Map();
+
+  /** Parameters that a rollback of the open transaction restores. */
+  private parametersAtBegin: ReadonlyMap<string, string> = new Map();
 
   /** Position that the caller has last been sent. */
   private reportedPosition: SessionPosition | undefined;
@@ -56,6 +59,33 @@
 
   /** @returns SQL statements that set this session's parameters on a connection, as one text */
   get parameterSql(): string {
-    return [...this.parameters.values()].join(';');
+    // A statement may end with a comment that extends to the end of its line.
+    return [...this.parameters.values()].join('\n;');
+  }
+
+  /**
+   * Keeps a session parameter.
+   *
+   * @param name - name of the parameter
+   * @param sql - SQL statement that sets it
+   */
+  setParameter(name: string, sql: string): void {
+    const others = [...this.parameters].filter(([other]) => other !== name);
+    this.parameters = new Map([...others, [name, sql]]);
+  }
+
+  /** @param keptNames - parameters that stay set */
+  resetParameters(keptNames: ReadonlySet<string>): void {
+    this.parameters = new Map([...this.parameters].filter(([name]) => keptNames.has(name)));
+  }
+
+  /** Marks the parameters as those before a transaction. */
+  saveParameters(): void {
+    this.parametersAtBegin = this.parameters;
+  }
+
+  /** Returns to the parameters before the transaction. */
+  restoreParameters(): void {
+    this.parameters = this.parametersAtBegin;
   }
 }
--- a/packages/daemon/src/callers/connection-lease.ts
+++ b/packages/daemon/src/callers/connection-lease.ts
@@ -2,6 +2,9 @@
 import type { UpstreamConnection } from '../upstreams/upstream-connection.js';
 import type { UpstreamPool } from '../upstreams/upstream-pool.js';
 
+/** Undoes what a session has set; RESET ALL alone leaves the role and the user. */
+const RESET_SQL = 'SET SESSION AUTHORIZATION DEFAULT;RESET ROLE;RESET ALL';
+
 /** A pooled connection reserved for one request or transaction. */
 export class ConnectionLease {
   private isEnded = false;
@@ -35,7 +38,7 @@
   async applyParameters(parameterSql: string): Promise<void> {
     const { connection } = this;
     if (connection.appliedParameters === parameterSql) return;
-    await connection.query(parameterSql === '' ? 'RESET ALL' : `RESET ALL;${parameterSql}`);
+    await connection.query(`${RESET_SQL};${parameterSql}`);
     connection.appliedParameters = parameterSql;
   }
 }
--- a/packages/daemon/src/callers/read-executor.ts
+++ b/packages/daemon/src/callers/read-executor.ts
@@ -164,8 +164,7 @@
   }
 
   private prepareRequest(callerRequest: CallerRequest, lease: ConnectionLease): PreparedRequest {
-    const { prepared, parameterScope } = lease.connection;
-    const request = createUpstreamRequest(callerRequest, prepared, parameterScope);
+    const request = createUpstreamRequest(callerRequest, lease.connection);
     return { request, sink: new ResponseWriter(this.output, request, false) };
   }
 
--- a/packages/daemon/src/callers/request-rewriter.ts
+++ b/packages/daemon/src/callers/request-rewriter.ts
@@ -24,6 +24,14 @@
   readonly onParsed?: (index: number) => void;
 }
 
+/** The part of a connection that decides how a request is sent on it. */
+export interface PreparingConnection {
+  readonly prepared: PreparedStatements;
+  /** Identifies the session parameters in force. */
+  readonly parameterScope: string;
+  markParametersUnknown(): void;
+}
+
 /** Target of a Close message that closes a prepared statement. */
 const STATEMENT_TARGET = Buffer.from('S');
 /** Name that is never prepared; others begin with the prefix and continue with a digest. */
@@ -37,20 +45,19 @@
  * connection, and statements that are not prepared there are prepared first.
  *
  * @param request - the request
- * @param prepared - statements prepared on the connection, which are updated
- * @param scope - identifies the session parameters in force on the connection
+ * @param connection - the connection, whose record of statements and parameters is updated
  * @returns the messages to send
  */
 export function createUpstreamRequest(
   request: CallerRequest,
-  prepared: PreparedStatements,
-  scope: string,
+  connection: PreparingConnection,
 ): UpstreamRequest {
+  if (request.changesParameters) connection.markParametersUnknown();
   if (request.kind === 'simple') {
     const bytes = Buffer.concat(request.frames.map((frame) => frame.bytes));
     return { bytes, hideParse: [], hideClose: [] };
   }
-  const rewriter = new RequestRewriter(prepared, scope);
+  const rewriter = new RequestRewriter(connection.prepared, connection.parameterScope);
   request.frames.forEach((frame, index) => rewriter.add(frame, request.statements[index]));
   return rewriter.finish();
 }
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -443,8 +443,7 @@
     lease: ConnectionLease,
     hidesReadOnlyError: boolean,
   ): { sink: ResponseWriter; request: ReturnType<typeof createUpstreamRequest> } {
-    const { prepared, parameterScope } = lease.connection;
-    const request = createUpstreamRequest(callerRequest, prepared, parameterScope);
+    const request = createUpstreamRequest(callerRequest, lease.connection);
     return { request, sink: new ResponseWriter(this.output, request, hidesReadOnlyError) };
   }
 }
--- a/packages/daemon/src/upstreams/member-control.ts
+++ b/packages/daemon/src/upstreams/member-control.ts
@@ -120,8 +120,9 @@
 
 /**
  * @param text - text to quote
- * @returns the text as an SQL string literal
+ * @returns the text as an SQL string literal, whatever `standard_conforming_strings` is
  */
 export function quoteLiteral(text: string): string {
-  return `'${text.replaceAll("'", "''")}'`;
+  const quoted = `'${text.replaceAll("'", "''")}'`;
+  return quoted.includes('\\') ? `E${quoted.replaceAll('\\', '\\\\')}` : quoted;
 }
--- a/packages/daemon/src/upstreams/upstream-connection.ts
+++ b/packages/daemon/src/upstreams/upstream-connection.ts
@@ -67,8 +67,10 @@
   /** Prepared statements that exist on the connection. */
   readonly prepared = new PreparedStatements();
 
-  /** Session parameters that were last applied, as one SQL text. */
-  appliedParameters = '';
+  /** Session parameters that are in force, as one SQL text; undefined if a statement may have set others. */
+  appliedParameters: string | undefined = '';
+
+  private unknownScopeCount = 0;
 
   private pendingExchanges: Exchange[] = [];
 
@@ -110,7 +112,13 @@
 
   /** @returns text that identifies the session parameters in force */
   get parameterScope(): string {
-    return this.appliedParameters;
+    return this.appliedParameters ?? `unknown ${this.unknownScopeCount}`;
+  }
+
+  /** Notes that a statement may set session parameters, so that they are reset before the next session. */
+  markParametersUnknown(): void {
+    this.appliedParameters = undefined;
+    this.unknownScopeCount += 1;
   }
 
   /** @returns whether the connection is open and no request runs on it */
--- a/packages/daemon/test/serving/odd-texts.test.ts
+++ b/packages/daemon/test/serving/odd-texts.test.ts
@@ -98,3 +98,169 @@
     expect(await listItems()).toEqual([]);
   });
 });
+
+/** Shows a parameter on a connection to the primary, which the session before has used. */
+async function showAtPrimary(caller: RawCaller, name: string): Promise<string | null | undefined> {
+  await caller.query('BEGIN');
+  const { rows } = await caller.query(`SHOW ${name}`);
+  await caller.query('COMMIT');
+  return rows[0]?.[0];
+}
+
+/** Runs texts in one session, each in a transaction's place, then shows a parameter in another. */
+async function showAfter(texts: readonly string[], name: string): Promise<unknown> {
+  await withCaller(async (caller) => {
+    for (const text of texts) await caller.query(text);
+  });
+  return withCaller(async (caller) => showAtPrimary(caller, name));
+}
+
+describe('session parameters', () => {
+  const use = ['BEGIN', 'SELECT 1', 'COMMIT'];
+
+  it.each([
+    ['a role', ['SET ROLE admin', ...use], 'role', 'none'],
+    [
+      'a user',
+      ["SET SESSION AUTHORIZATION 'admin'", ...use],
+      'session_authorization',
+      'heatherledge',
+    ],
+    [
+      'a path set beside a statement',
+      ['SET search_path = other; DELETE FROM items'],
+      'search_path',
+      '"$user", public',
+    ],
+    [
+      'a path set by a function',
+      ["SELECT set_config('search_path', 'other', false) FOR UPDATE"],
+      'search_path',
+      '"$user", public',
+    ],
+    [
+      'a path set in a transaction',
+      ['BEGIN', 'SELECT 1', 'SET search_path = other', 'COMMIT'],
+      'search_path',
+      '"$user", public',
+    ],
+  ])('do not pass to the next session: %s', async (_, texts, name, value) => {
+    expect(await showAfter(texts, name)).toBe(value);
+  });
+
+  it('are all set if one of them ends with a comment', async () => {
+    await withCaller(async (caller) => {
+      await caller.query('SET search_path = own -- for this service');
+      await caller.query("SET datestyle = 'DMY'");
+      expect(await showAtPrimary(caller, 'datestyle')).toBe('DMY');
+      expect(await showAtPrimary(caller, 'search_path')).toBe('own');
+    });
+  });
+
+  it.each(['DISCARD PLANS', 'DISCARD SEQUENCES', 'DISCARD TEMP'])('stay after %s', async (text) => {
+    await withCaller(async (caller) => {
+      await caller.query('SET search_path = own');
+      expect((await caller.query(text)).tags).toEqual([text]);
+      expect(await showAtPrimary(caller, 'search_path')).toBe('own');
+    });
+  });
+
+  it('are reset by DISCARD ALL with the prepared statements, and by RESET ALL without the role', async () => {
+    await withCaller(async (caller) => {
+      await caller.send(createParse('s', 'SELECT 1'));
+      await caller.query('SET ROLE clerk');
+      await caller.query('SET search_path = own');
+      await caller.query('RESET ALL');
+      expect(await showAtPrimary(caller, 'role')).toBe('clerk');
+      expect(await showAtPrimary(caller, 'search_path')).toBe('"$user", public');
+      expect((await caller.query('DISCARD ALL')).tags).toEqual(['DISCARD ALL']);
+      expect(await showAtPrimary(caller, 'role')).toBe('none');
+      expect((await caller.send(createExecution('s'))).errors).toHaveLength(1);
+    });
+  });
+
+  it('hold in the transaction that sets them, and afterwards if it is committed', async () => {
+    await withCaller(async (caller) => {
+      await caller.query('BEGIN');
+      await caller.query('SELECT 1');
+      await caller.query('SET search_path = own');
+      expect((await caller.query('SHOW search_path')).rows).toEqual([['own']]);
+      await caller.query('COMMIT');
+      expect(await showAtPrimary(caller, 'search_path')).toBe('own');
+    });
+  });
+
+  it('are as before after a transaction that set them and is rolled back', async () => {
+    await withCaller(async (caller) => {
+      await caller.query('BEGIN');
+      await caller.query('SET search_path = own');
+      await caller.query('ROLLBACK');
+      expect(await showAtPrimary(caller, 'search_path')).toBe('"$user", public');
+    });
+  });
+
+  it.each([
+    'SET standard_conforming_strings = off',
+    "SET client_encoding = 'SJIS'",
+    "SET NAMES 'latin1'",
+    "SELECT set_config('search_path', 'other', false)",
+    'SET search_path = own; SELECT 1',
+    "SET search_path = 'heatherledge'",
+  ])('are refused if they change how texts are read: %s', async (text) => {
+    const { errors } = await withCaller(async (caller) => caller.query(text));
+    expect(errors).toEqual([expect.stringMatching(/^0A000 .*\(not run\)$/)]);
+  });
+
+  it.each(["SET client_encoding = 'UTF-8'", 'SET standard_conforming_strings = on'])(
+    'are set if they do not: %s',
+    async (text) => {
+      const { errors } = await withCaller(async (caller) => caller.query(text));
+      expect(errors).toEqual([]);
+    },
+  );
+});
+
+describe('startup parameters', () => {
+  it.each([
+    ['as parameters', { search_path: 'own, "my schema"' }, 'own, "my schema"'],
+    ['as options', { options: '-c search_path=own,public' }, 'own,public'],
+    ['as long options with blanks', { options: '--search-path=own,\\ public' }, 'own, public'],
+    ['with quotes and backslashes', { search_path: "it's\\' -- x" }, "it's\\' -- x"],
+  ])('hold for each statement: %s', async (_, parameters, value) => {
+    const shown = await withCaller(
+      async (caller) => showAtPrimary(caller, 'search_path'),
+      parameters,
+    );
+    expect(shown).toBe(value);
+  });
+
+  it('set no parameter of the proxy from the value of another', async () => {
+    for (const value of ['x-cheatherledge.max_age_ms=6', 'x\\ -c\\ heatherledge.max_age_ms=6']) {
+      const { rows } = await withCaller(
+        async (caller) => caller.query('SHOW heatherledge.max_age_ms'),
+        { options: `-c application_name=${value}` },
+      );
+      expect(rows).toEqual([['']]);
+    }
+  });
+
+  it.each<Record<string, string>>([
+    { client_encoding: 'LATIN1' },
+    { 'a b': 'c' },
+    { options: '-x' },
+  ])('are refused if they cannot be applied: %s', async (parameters) => {
+    await expect(withCaller(async () => {}, parameters)).rejects.toThrow('0A000');
+  });
+});
+
+describe('parameters of the proxy', () => {
+  it.each(['constructor', '__proto__', 'toString', 'missing'])(
+    'do not include %s',
+    async (name) => {
+      const { errors } = await withCaller(async (caller) =>
+        caller.query(`SHOW heatherledge."${name}"`),
+      );
+      expect(errors).toEqual([expect.stringContaining('is not a parameter of the proxy')]);
+    },
+  );
+});
--- a/packages/daemon/test/units/caller-request.test.ts
+++ b/packages/daemon/test/units/caller-request.test.ts
@@ -11,7 +11,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { createRequest, type SessionStatements } from '../../src/callers/caller-request.js';
-import { createUpstreamRequest } from '../../src/callers/request-rewriter.js';
+import {
+  createUpstreamRequest,
+  type PreparingConnection,
+} from '../../src/callers/request-rewriter.js';
 import { PreparedStatements } from '../../src/upstreams/prepared-statements.js';
 
 const NO_TYPES = Buffer.from([0, 0]);
@@ -64,6 +67,10 @@
   }
 }
 
+function createTarget(prepared: PreparedStatements, parameterScope: string): PreparingConnection {
+  return { prepared, parameterScope, markParametersUnknown: () => {} };
+}
+
 class FakeSession {
   readonly statements: SessionStatements = new Map();
 
@@ -75,7 +82,7 @@
   ): (string | undefined)[] {
     const before = connection.run.length;
     const request = createRequest([...frames, SYNC], this.statements);
-    const upstream = createUpstreamRequest(request, prepared, scope);
+    const upstream = createUpstreamRequest(request, createTarget(prepared, scope));
     connection.receive(upstream.bytes, (index) => upstream.onParsed?.(index));
     return connection.run.slice(before);
   }
@@ -145,7 +152,7 @@
     const session = new FakeSession();
     const prepared = new PreparedStatements();
     const lost = createRequest([createParse('s', 'SELECT 1'), SYNC], session.statements);
-    createUpstreamRequest(lost, prepared, '');
+    createUpstreamRequest(lost, createTarget(prepared, ''));
     expect(session.send(new FakeConnection(), prepared, [createBind('s')])).toEqual(['SELECT 1']);
   });
 
