Apply a comment's key and age to its own statement, and find outcome records in any session

What callers saw, each shown by a test that failed before: - A key in the comment of a refused request stayed in the session. The next statement, without a key, was recorded under it; when the caller repeated the refused one, it was told LH001, done, and it had never run. - A key in a comment within an open transaction became the key of the transaction after it, in the same way. - Of two keys in one request only the last one was recorded, so a retry of the first ran again. - A maximum age in a comment held for all later reads of the session, which could then be as old as that. - The record was written to the table that the session's search_path names first, with the session's role. A retry from a session with another path does not find it and runs the write again (unit test on the texts; the stand-ins have one schema). - After the table was created, BEGIN without the caller's options opened the transaction.

Cause: parameters of one statement were kept as state of the session, and the record was read with the caller's settings.

Now comments hold for their request. A key that comes after the first statement of a transaction, or two keys of one request, are refused as not run. Records are written and looked up with the connection's own user, role and search path; the session's parameters are set again in the same message, at no further round trip.

The id ORGANISATION/KEY was suspected; it is unambiguous, as no organisation or database can have a slash in its name (tests of parseSettingsPath). Keys with quotes, backslashes and any characters are covered.

--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -5,6 +5,7 @@
   keyRejected,
   keyWithdrawn,
   type Milliseconds,
+  parameterRejected,
   protocolViolation,
   ProxyError,
   settingsStale,
@@ -16,7 +17,6 @@
   type Frame,
   FrontendCode,
 } from '@heatherledge/wire';
-import { parseComment } from '../sql/comment-parameters.js';
 import { PROXY_PARAMETER_PREFIX } from '../sql/parameter-statements.js';
 import type { StatementClass } from '../sql/statement-classifier.js';
 import { UpstreamFailure } from '../upstreams/upstream-connection.js';
@@ -49,6 +49,8 @@
   'ProtocolViolation',
 ]);
 const ABORTED_TRANSACTION_ERROR = { code: '25P02', message: 'current transaction is aborted' };
+const LATE_KEY_REASON =
+  'heatherledge.idempotency_key came after the first statement of its transaction';
 /** Statements that the proxy keeps for a session, which have to stand alone in a request. */
 const SESSION_STATEMENT_KINDS = new Set([
   'set-proxy',
@@ -228,7 +230,6 @@
       throw ProxyError.create(featureRefused, { reason: 'text that is not UTF-8' });
     }
     const classes = request.texts.flatMap((text) => this.context.classifier.classify(text));
-    this.applyComments(request);
     const refusedStatement = classes.find((item) => item.kind === 'refused');
     if (refusedStatement?.kind === 'refused') {
       throw ProxyError.create(featureRefused, { reason: refusedStatement.feature });
@@ -238,15 +239,29 @@
     }
     const single = classes.length === 1 ? classes[0] : undefined;
     if (classes.length === 0) await this.runWithoutStatement(request);
-    else if (single !== undefined && isLocal(single)) await this.local.run(request, single);
-    else await this.runAtMember(markRequest(request, classes), classes);
+    else if (single === undefined || !isLocal(single)) {
+      const marked = markRequest(request, classes);
+      await this.runWithComments(request, async () => this.runAtMember(marked, classes));
+    } else if (single.kind === 'begin') {
+      await this.runWithComments(request, async () => this.local.run(request, single));
+    } else await this.local.run(request, single);
   }
 
-  private applyComments(request: CallerRequest): void {
-    for (const text of request.texts) {
-      const { idempotencyKey, maxAgeMs } = parseComment(text);
-      if (idempotencyKey !== undefined) this.parameters.set('idempotency_key', idempotencyKey);
-      if (maxAgeMs !== undefined) this.parameters.set('max_age_ms', maxAgeMs);
+  /** Runs a function with the parameters that comments of a request set, which hold for it only. */
+  private async runWithComments(request: CallerRequest, run: () => Promise<void>): Promise<void> {
+    const { idempotencyKey, maxAgeMs } = this.parameters.parseComments(request.texts);
+    const previous = this.state.takeParameters();
+    try {
+      this.state.maxAgeMs = maxAgeMs ?? previous.maxAgeMs;
+      if (idempotencyKey === undefined) this.state.idempotencyKey = previous.idempotencyKey;
+      else if (this.transactions.status === 'idle') this.state.idempotencyKey = idempotencyKey;
+      else if (!this.transactions.useIdempotencyKey(idempotencyKey)) {
+        throw ProxyError.create(parameterRejected, { reason: LATE_KEY_REASON });
+      }
+      await run();
+    } finally {
+      this.state.maxAgeMs = previous.maxAgeMs;
+      if (idempotencyKey !== undefined) this.state.idempotencyKey = previous.idempotencyKey;
     }
   }
 
--- a/packages/daemon/src/callers/caller-state.ts
+++ b/packages/daemon/src/callers/caller-state.ts
@@ -41,6 +41,13 @@
     readonly keyDigest: KeyDigest | undefined,
   ) {}
 
+  /** @returns the parameters that hold for the next request; the key is removed */
+  takeParameters(): Pick<CallerState, 'maxAgeMs' | 'idempotencyKey'> {
+    const { maxAgeMs, idempotencyKey } = this;
+    this.idempotencyKey = undefined;
+    return { maxAgeMs, idempotencyKey };
+  }
+
   /** @param position - a confirmed position that a response included */
   advancePosition(position: SessionPosition): void {
     this.position = mergePositions(this.position, position);
--- a/packages/daemon/src/callers/connection-lease.ts
+++ b/packages/daemon/src/callers/connection-lease.ts
@@ -7,6 +7,9 @@
 
 /** A pooled connection reserved for one request or transaction. */
 export class ConnectionLease {
+  /** SQL statements that set the session's parameters, as one text. */
+  parameterSql = '';
+
   private isEnded = false;
 
   constructor(
@@ -37,6 +40,7 @@
    */
   async applyParameters(parameterSql: string): Promise<void> {
     const { connection } = this;
+    this.parameterSql = parameterSql;
     if (connection.appliedParameters === parameterSql) return;
     await connection.query(`${RESET_SQL};${parameterSql}`);
     connection.appliedParameters = parameterSql;
--- a/packages/daemon/src/callers/outcome-records.ts
+++ b/packages/daemon/src/callers/outcome-records.ts
@@ -7,12 +7,18 @@
 } from '@heatherledge/core';
 import { delay } from '../runtime/system-clock.js';
 import { quoteLiteral } from '../upstreams/member-control.js';
-import { type UpstreamConnection, UpstreamFailure } from '../upstreams/upstream-connection.js';
+import { UpstreamFailure } from '../upstreams/upstream-connection.js';
+import type { ConnectionLease } from './connection-lease.js';
 import type { LeaseSource } from './lease-source.js';
 import type { ServingContext } from './serving-context.js';
 
 /** Table in a member's database; a transaction with an idempotency key inserts its own record. */
 const OUTCOMES_TABLE = 'heatherledge_outcomes';
+const CREATE_TABLE_SQL = `CREATE TABLE IF NOT EXISTS ${OUTCOMES_TABLE} (id text PRIMARY KEY, recorded_at timestamptz)`;
+/** Makes the table the same one for all sessions of a member, whatever parameters they have set. */
+const OWN_PARAMETERS_SQL =
+  'SET LOCAL SESSION AUTHORIZATION DEFAULT;SET LOCAL ROLE NONE;SET LOCAL search_path TO DEFAULT';
+const LOOKUP_BEGIN_SQL = 'BEGIN READ WRITE';
 const UNIQUE_VIOLATION_SQLSTATE = '23505';
 const UNDEFINED_TABLE_SQLSTATE = '42P01';
 const CONFIRMATION_TIMEOUT_MS = 1000;
@@ -49,23 +55,28 @@
  * missing. If another transaction with the same key is open, the member blocks this write until that
  * transaction has ended.
  *
- * @param connection - connection with an open transaction
+ * @param lease - lease of a connection with an open transaction
  * @param key - key to record
+ * @param beginText - SQL statement that opened the transaction
  * @throws OutcomeExists if the key is already recorded
  */
-export async function writeOutcome(connection: UpstreamConnection, key: OutcomeKey): Promise<void> {
+export async function writeOutcome(
+  lease: ConnectionLease,
+  key: OutcomeKey,
+  beginText: string,
+): Promise<void> {
+  const { connection, parameterSql } = lease;
   try {
-    await connection.query(createInsertStatement(key), RECORD_WRITE_TIMEOUT_MS);
+    const text = `${OWN_PARAMETERS_SQL};${createInsertStatement(key)};${parameterSql}`;
+    await connection.query(text, RECORD_WRITE_TIMEOUT_MS);
   } catch (error) {
     if (!(error instanceof UpstreamFailure)) throw error;
     if (error.fields.code === UNIQUE_VIOLATION_SQLSTATE) throw new OutcomeExists();
     if (error.fields.code !== UNDEFINED_TABLE_SQLSTATE) throw error;
     await connection.query('ROLLBACK');
-    await connection.query(
-      `CREATE TABLE IF NOT EXISTS ${OUTCOMES_TABLE} (id text PRIMARY KEY, recorded_at timestamptz)`,
-    );
-    await connection.query('BEGIN');
-    await writeOutcome(connection, key);
+    await connection.query(`BEGIN;${OWN_PARAMETERS_SQL};${CREATE_TABLE_SQL};COMMIT`);
+    await connection.query(beginText);
+    await writeOutcome(lease, key, beginText);
   }
 }
 
@@ -104,8 +115,8 @@
   const lease = await leases.acquirePrimary(toMilliseconds(deadline));
   try {
     const { connection } = lease;
-    await connection.query('BEGIN');
-    const found = await isRecorded(connection, key);
+    await connection.query(LOOKUP_BEGIN_SQL);
+    const found = await isRecorded(lease, key);
     await connection.query('ROLLBACK');
     const position = await connection.callFunction<SessionPosition>(
       `heatherledge.confirm(${CONFIRMATION_TIMEOUT_MS})`,
@@ -120,9 +131,9 @@
   }
 }
 
-async function isRecorded(connection: UpstreamConnection, key: OutcomeKey): Promise<boolean> {
+async function isRecorded(lease: ConnectionLease, key: OutcomeKey): Promise<boolean> {
   try {
-    await writeOutcome(connection, key);
+    await writeOutcome(lease, key, LOOKUP_BEGIN_SQL);
     return false;
   } catch (error) {
     if (error instanceof OutcomeExists) return true;
@@ -130,6 +141,7 @@
   }
 }
 
+/** Organisations have no slash in their names, so the first one ends the organisation. */
 function createInsertStatement(key: OutcomeKey): string {
   const id = quoteLiteral(`${key.organisation}/${key.key}`);
   return `INSERT INTO ${OUTCOMES_TABLE} (id, recorded_at) VALUES (${id}, now())`;
--- a/packages/daemon/src/callers/proxy-parameters.ts
+++ b/packages/daemon/src/callers/proxy-parameters.ts
@@ -5,6 +5,7 @@
   positionRejected,
   ProxyError,
 } from '@heatherledge/core';
+import { parseComment } from '../sql/comment-parameters.js';
 import { PROXY_PARAMETER_PREFIX } from '../sql/parameter-statements.js';
 import type { CallerState } from './caller-state.js';
 
@@ -53,6 +54,26 @@
     else throw createParameterError(name, 'is not a parameter of the proxy');
   }
 
+  /**
+   * Reads the parameters that comments of a request set.
+   *
+   * @param texts - SQL texts of the request
+   * @returns their common key and the lowest maximum age
+   * @throws ProxyError if a value is invalid, or if there are two keys
+   */
+  parseComments(texts: readonly string[]): Pick<CallerState, 'maxAgeMs' | 'idempotencyKey'> {
+    const comments = texts.map(parseComment);
+    const keys = new Set(
+      comments.flatMap(({ idempotencyKey = '' }) => parseIdempotencyKey(idempotencyKey) ?? []),
+    );
+    if (keys.size > 1) throw createParameterError('idempotency_key', 'differs within one request');
+    const ages = comments.flatMap(({ maxAgeMs }) => parseMaxAge(maxAgeMs ?? '') ?? []);
+    return {
+      idempotencyKey: [...keys][0],
+      maxAgeMs: ages.length === 0 ? undefined : Math.min(...ages),
+    };
+  }
+
   /** @returns the session's position as a token for its caller */
   sealPosition(): string | undefined {
     const { organisation, group, position } = this.state;
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -22,27 +22,12 @@
   resolveVerdict,
   ROLLED_BACK_REASON,
 } from './commit-executor.js';
+import { type OpenTransaction, RetryableFailure } from './open-transaction.js';
 import { type OutcomeKey, OutcomeExists, writeOutcome } from './outcome-records.js';
 import type { CallerRequest } from './caller-request.js';
 import { createUpstreamRequest } from './request-rewriter.js';
 import type { ServingContext } from './serving-context.js';
 
-/** A transaction that the caller has opened. */
-interface OpenTransaction {
-  /** SQL text of the BEGIN statement. */
-  readonly beginText: string;
-  /** Key under which the transaction is recorded, if it has one. */
-  readonly key: OutcomeKey | undefined;
-  /** Connection of the transaction; undefined until the first statement has been sent. */
-  lease: ConnectionLease | undefined;
-}
-
-/**
- * Thrown to run a request again on another connection, when it has taken no effect and nothing of its
- * response has been forwarded.
- */
-class RetryableFailure extends Error {}
-
 /** Runs a session's writes and transactions at the primary and reports their outcome. */
 export class TransactionExecutor {
   private readonly commits: CommitExecutor;
@@ -80,6 +65,20 @@
     this.openTransaction = { beginText, key: this.takeIdempotencyKey(), lease: undefined };
   }
 
+  /**
+   * Gives the open transaction a key, if it has run no statement.
+   *
+   * @param key - idempotency key of the caller
+   * @returns whether the transaction is recorded under this key
+   */
+  useIdempotencyKey(key: string): boolean {
+    const { openTransaction } = this;
+    if (openTransaction === undefined) return false;
+    const { organisation, group } = this.state;
+    if (openTransaction.lease === undefined) openTransaction.key ??= { organisation, group, key };
+    return openTransaction.key?.key === key;
+  }
+
   /** Rolls back the open transaction, if there is one. */
   async rollback(): Promise<void> {
     const lease = this.openTransaction?.lease;
@@ -220,9 +219,8 @@
     const prepared = this.prepareRequest(request, lease, true);
     let status: TransactionStatus;
     try {
-      const { bytes } = prepared.request;
       status = await lease.connection.exchange(
-        bytes,
+        prepared.request.bytes,
         prepared.sink,
         this.computeRemainingMs(deadline),
       );
@@ -255,7 +253,7 @@
     const prepared = this.prepareRequest(request, lease, true);
     try {
       await lease.connection.query('BEGIN');
-      await writeOutcome(lease.connection, key);
+      await writeOutcome(lease, key, 'BEGIN');
       const { bytes } = prepared.request;
       await lease.connection.exchange(bytes, prepared.sink, this.computeRemainingMs(deadline));
     } catch (error) {
@@ -280,7 +278,9 @@
     const lease = await this.leases.acquirePrimary(deadline);
     try {
       await lease.connection.query(transaction.beginText);
-      if (transaction.key !== undefined) await writeOutcome(lease.connection, transaction.key);
+      if (transaction.key !== undefined) {
+        await writeOutcome(lease, transaction.key, transaction.beginText);
+      }
     } catch (error) {
       await this.handleUncommittedFailure(error, lease, undefined);
     }
