Report a change of settings as accepted only if it is the one that was made

And the operator of the whole fleet could write internal/writers through the API: its value was not checked, and a value that names no instance lets any instance write, on which the freshness of keys rests.

Cause: the id that an operator chooses was the whole identity of a change, over all teams.

Now the record under an id is compared with author and changes; another one is refused as invalid (422, nothing changed). Paths and ids that begin with internal/ are refused at the API (400), and the instances' own changes have such ids.

--- a/packages/core/src/settings/settings-index.ts
+++ b/packages/core/src/settings/settings-index.ts
@@ -71,8 +71,8 @@
   readonly betweenRegionsMs: number;
 }
 
-/** Prefix of the paths that instances store among the settings for their own use. */
-const INTERNAL_PREFIX = 'internal/';
+/** Prefix of the paths that instances store among the settings for their own use, and of their change ids. */
+export const INTERNAL_PREFIX = 'internal/';
 
 /** Adds and removes the values of one kind of settings. */
 interface KindIndexer {
--- a/packages/daemon/src/admin/admin-api.ts
+++ b/packages/daemon/src/admin/admin-api.ts
@@ -2,6 +2,7 @@
 import {
   createKeyDigest,
   type CredentialSettings,
+  INTERNAL_PREFIX,
   type OrganisationId,
   type PathChange,
   type SettingsIndex,
@@ -33,17 +34,20 @@
   formatMetrics(): Promise<string>;
 }
 
+const INTERNAL_MESSAGE = `begins with ${INTERNAL_PREFIX}, which is for the instances' own records`;
+const externalPath = z.string().min(1).refine(isExternal, INTERNAL_MESSAGE);
+
 const changeSchema = z.strictObject({
   changes: z
-    .array(z.strictObject({ path: z.string().min(1), value: z.unknown().optional() }))
+    .array(z.strictObject({ path: externalPath, value: z.unknown().optional() }))
     .min(1)
     .max(10_000),
   expectedRevision: z.number().int().optional(),
-  changeId: z.string().min(1).max(100).optional(),
+  changeId: z.string().min(1).max(100).refine(isExternal, INTERNAL_MESSAGE).optional(),
 });
 
 const keyRequestSchema = z.strictObject({
-  path: z.string().min(1),
+  path: externalPath,
   organisation: z.string().min(1),
 });
 
@@ -191,6 +195,10 @@
   }
 }
 
+function isExternal(text: string): boolean {
+  return !text.startsWith(INTERNAL_PREFIX);
+}
+
 /** A credential covers the paths that begin with its subtree, for reading and for writing. */
 function mayAccess(operator: Operator, path: string): boolean {
   return path.startsWith(operator.credential.subtree);
--- a/packages/daemon/src/settings/settings-store.ts
+++ b/packages/daemon/src/settings/settings-store.ts
@@ -193,8 +193,8 @@
     let pending: { state: SettingsState } | undefined;
     for (let attempt = 0; attempt < MAX_CHANGE_ATTEMPTS; attempt += 1) {
       try {
-        const acceptedRevision = await this.findAcceptedRevision(request.changeId);
-        if (acceptedRevision !== undefined) return { kind: 'accepted', revision: acceptedRevision };
+        const earlier = await this.findEarlierOutcome(request);
+        if (earlier !== undefined) return earlier;
         // While an earlier attempt may still take effect, it may only be repeated unchanged.
         const state = pending?.state ?? (await this.load());
         const refusal = this.validateRequest(request, state, mayWrite);
@@ -267,18 +267,34 @@
     throw new PlatformError('the store was restored while the change was made');
   }
 
-  private async findAcceptedRevision(changeId: string): Promise<SettingsRevision | undefined> {
+  /** Finds out what became of the change id: it is the request's own, or was used for another change. */
+  private async findEarlierOutcome(request: ChangeRequest): Promise<ChangeOutcome | undefined> {
+    const { changeId } = request;
     const range = await this.platform.readRange(`${AUDIT_PREFIX}${changeId}`, true, 'audit');
     const found = range.keys[0];
     if (found === undefined) return undefined;
+    if (!isSameChange(decodeStoredValue(found.value), request)) {
+      const message = 'was used for another change';
+      return { kind: 'invalid', findings: [{ source: 'request', field: 'changeId', message }] };
+    }
     await this.readHead();
-    return this.history.toRevision(range.history, found.modRevision);
+    return {
+      kind: 'accepted',
+      revision: this.history.toRevision(range.history, found.modRevision),
+    };
   }
 
   private async resolveConflict(request: ChangeRequest): Promise<ChangeOutcome> {
     // The head has changed, by this request whose response was lost, or by another change.
-    const acceptedRevision = await this.findAcceptedRevision(request.changeId);
-    if (acceptedRevision !== undefined) return { kind: 'accepted', revision: acceptedRevision };
-    return { kind: 'conflict', revision: await this.readHead() };
+    const earlier = await this.findEarlierOutcome(request);
+    return earlier ?? { kind: 'conflict', revision: await this.readHead() };
   }
 }
+
+/** Returns whether an audit record is that of a request; a deletion has no value. */
+function isSameChange(stored: unknown, { author, changes }: ChangeRequest): boolean {
+  const record = stored as Partial<AuditRecord> | null;
+  const encode = (list: readonly PathChange[] = []): string =>
+    JSON.stringify(list.map(({ path, value }) => [path, value ?? null]));
+  return record?.author === author && encode(record.changes) === encode(changes);
+}
--- a/packages/daemon/src/settings/settings-task.ts
+++ b/packages/daemon/src/settings/settings-task.ts
@@ -459,7 +459,7 @@
       const isCurrent = (this.ageMs ?? Infinity) < PULL_INTERVAL_MS * 3;
       if (isResponsible && isCurrent && !isSame && chosen.length > 0) {
         await this.write({
-          changeId: `writers-${chosen.join(',')}-${this.current.revision}`,
+          changeId: `${WRITERS_PATH}-${chosen.join(',')}-${this.current.revision}`,
           author: 'heatherledge',
           changes: [{ path: WRITERS_PATH, value: { instances: chosen } }],
           expectedRevision: this.current.revision,
