Keep a primary in service when a caller's own read-only setting refuses a write

What callers saw, shown by a test of read-only.test.ts that failed before: after SET default_transaction_read_only = on, or in BEGIN READ ONLY, an INSERT was answered after 8 s (8027 and 8005 ms, the deadline of a request) with an error of the proxy in place of 25006, and until then the primary was suspected again and again, for the other callers of the group too.

Cause: 25006 was taken for the refusal of a member that is no primary, whatever the caller's text had asked for.

Now a refusal counts against the member only if the session's parameters and its BEGIN do not forbid writes; otherwise it goes to the caller at once. A function or role that forbids writes by its own settings is not known here; such a write still waits. The stand-in member forbids writes as these statements ask.

--- a/packages/daemon/src/callers/caller-state.ts
+++ b/packages/daemon/src/callers/caller-state.ts
@@ -7,6 +7,14 @@
 } from '@heatherledge/core';
 import type { SessionStatements } from './caller-request.js';
 
+const READ_ONLY_PARAMETERS = new Set([
+  'default_transaction_read_only',
+  'transaction_read_only',
+  'SESSION CHARACTERISTICS',
+]);
+/** Statements that forbid writes with these parameters. */
+const FORBIDS_WRITES = /read\s+only|\b(on|true|yes|1)\b/i;
+
 /** State that a caller's session keeps from one request to the next. */
 export class CallerState {
   /** Log position that the session's next read must include. */
@@ -24,6 +32,9 @@
   /** Session parameters that the caller has set: SQL statement by name, in the order of the last SET. */
   private parameters: ReadonlyMap<string, string> = new Map();
 
+  /** Whether the caller has opened its transaction as read-only. */
+  isTransactionReadOnly = false;
+
   /** Parameters that a rollback of the open transaction restores. */
   private parametersAtBegin: ReadonlyMap<string, string> = new Map();
 
@@ -70,6 +81,14 @@
     return [...this.parameters.values()].join('\n;');
   }
 
+  /** @returns whether the caller has forbidden writes itself, so that their refusal is none by a replica */
+  get isReadOnly(): boolean {
+    if (this.isTransactionReadOnly) return true;
+    return [...this.parameters].some(
+      ([name, sql]) => READ_ONLY_PARAMETERS.has(name) && FORBIDS_WRITES.test(sql),
+    );
+  }
+
   /**
    * Keeps a session parameter.
    *
--- a/packages/daemon/src/callers/local-statements.ts
+++ b/packages/daemon/src/callers/local-statements.ts
@@ -28,7 +28,9 @@
   async run(request: CallerRequest, statement: StatementClass): Promise<void> {
     switch (statement.kind) {
       case 'begin':
-        if (this.transactions.status === 'idle') this.beginTransaction(statement.text);
+        if (this.transactions.status === 'idle') {
+          this.beginTransaction(statement.text, statement.readOnly);
+        }
         this.sendResponse(request, 'BEGIN');
         break;
       case 'commit':
@@ -36,6 +38,7 @@
         break;
       case 'rollback':
         await this.transactions.rollback();
+        this.state.isTransactionReadOnly = false;
         this.state.restoreParameters();
         this.sendResponse(request, 'ROLLBACK');
         break;
@@ -59,8 +62,9 @@
     }
   }
 
-  private beginTransaction(text: string): void {
+  private beginTransaction(text: string, isReadOnly: boolean): void {
     this.state.saveParameters();
+    this.state.isTransactionReadOnly = isReadOnly;
     this.transactions.begin(text);
   }
 
@@ -69,6 +73,7 @@
     try {
       tag = await this.transactions.commit();
     } finally {
+      this.state.isTransactionReadOnly = false;
       if (tag !== 'COMMIT') this.state.restoreParameters();
     }
     return tag;
--- a/packages/daemon/src/callers/response-writer.ts
+++ b/packages/daemon/src/callers/response-writer.ts
@@ -37,6 +37,9 @@
   /** Fields of the member's error response, if any; also set if the error is hidden from the caller. */
   failure: ErrorFields | undefined;
 
+  /** Whether an error response was hidden from the caller, who has received nothing. */
+  hasHiddenError = false;
+
   /** Command tag of the last statement. */
   lastTag = '';
 
@@ -78,8 +81,9 @@
     if (this.isAbandoned || this.isHidden(frame)) return true;
     if (frame.type === BackendCode.ErrorMessage) {
       this.failure = parseErrorResponse(frame.bytes);
-      const isHiddenError = this.hidesReadOnlyError && this.failure.code === READ_ONLY_SQLSTATE;
-      if (isHiddenError && !this.hasForwarded) return true;
+      const isHidden = this.hidesReadOnlyError && this.failure.code === READ_ONLY_SQLSTATE;
+      this.hasHiddenError = isHidden && !this.hasForwarded;
+      if (this.hasHiddenError) return true;
     }
     this.forwardHeldCompletion();
     if (frame.type === BackendCode.CommandComplete) {
--- a/packages/daemon/src/callers/transaction-executor.ts
+++ b/packages/daemon/src/callers/transaction-executor.ts
@@ -295,9 +295,9 @@
     sink: ResponseWriter | undefined,
   ): Promise<never> {
     if (error instanceof OutcomeExists) return this.refuseRecordedTransaction(lease);
-    const isReadOnly = error instanceof UpstreamFailure && error.fields.code === READ_ONLY_SQLSTATE;
+    const isRefusal = error instanceof UpstreamFailure && error.fields.code === READ_ONLY_SQLSTATE;
     lease.discard();
-    if (!isReadOnly && !(error instanceof ConnectionLost)) throw error;
+    if ((!isRefusal || this.state.isReadOnly) && !(error instanceof ConnectionLost)) throw error;
     this.leases.suspectPrimary(lease.primary);
     if (sink?.hasForwarded) {
       sink.discardAll();
@@ -410,9 +410,8 @@
       if (verdict.position !== undefined) this.state.advancePosition(verdict.position);
       return;
     }
-    const { reason } = verdict;
     const entry = verdict.kind === 'unknown' ? outcomeUnknown : transactionLost;
-    throw ProxyError.create(entry, { reason });
+    throw ProxyError.create(entry, { reason: verdict.reason });
   }
 
   /** Continues a transaction that a request has opened at the member, as in `BEGIN; UPDATE ...`. */
@@ -423,7 +422,7 @@
 
   /** @returns whether the member refused the request as read-only; its connection is then discarded */
   private handleReadOnlyRefusal(sink: ResponseWriter, lease: ConnectionLease): boolean {
-    if (sink.failure?.code !== READ_ONLY_SQLSTATE || sink.hasForwarded) return false;
+    if (!sink.hasHiddenError) return false;
     lease.discard();
     this.leases.suspectPrimary(lease.primary);
     return true;
@@ -444,6 +443,7 @@
     hidesReadOnlyError: boolean,
   ): { sink: ResponseWriter; request: ReturnType<typeof createUpstreamRequest> } {
     const request = createUpstreamRequest(callerRequest, lease.connection);
-    return { request, sink: new ResponseWriter(this.output, request, hidesReadOnlyError) };
+    const hides = hidesReadOnlyError && !this.state.isReadOnly;
+    return { request, sink: new ResponseWriter(this.output, request, hides) };
   }
 }
--- a/packages/stand-ins/src/member/member-session.ts
+++ b/packages/stand-ins/src/member/member-session.ts
@@ -287,7 +287,7 @@
     switch (statement.kind) {
       case 'begin':
         this.isInTransactionBlock = true;
-        this.parameters.begin();
+        this.parameters.begin(statement);
         return { tag: 'BEGIN', rows: [] };
       case 'commit':
         return this.commit();
@@ -310,6 +310,9 @@
     statement: Statement,
     params: readonly SqlValue[],
   ): Promise<StatementResult> {
+    if (this.parameters.isReadOnly) {
+      throw new SqlError('25006', 'cannot execute in a read-only transaction');
+    }
     this.writeTransaction ??= await this.host.member.beginWrite();
     if (this.socket.destroyed) {
       this.rollbackTransaction();
--- a/packages/stand-ins/src/member/session-parameters.ts
+++ b/packages/stand-ins/src/member/session-parameters.ts
@@ -13,7 +13,7 @@
   ['datestyle', 'ISO, MDY'],
 ]);
 
-/** Session parameters of a member's session, by name. They have no effect except on SHOW. */
+/** Session parameters of a member's session, by name. Only those that forbid writes have an effect beside SHOW. */
 export class SessionParameters {
   private values = new Map<string, string>();
 
@@ -22,10 +22,23 @@
 
   private valuesAtBegin = new Map<string, string>();
 
-  /** Starts a transaction. */
-  begin(): void {
+  /** @returns whether the session or its transaction refuses writes */
+  get isReadOnly(): boolean {
+    const value =
+      this.values.get('transaction_read_only') ?? this.values.get('default_transaction_read_only');
+    return value === 'on' || value === 'true';
+  }
+
+  /**
+   * Starts a transaction.
+   *
+   * @param statement - the BEGIN statement
+   */
+  begin({ body }: Statement): void {
     this.valuesAtBegin = new Map(this.values);
     this.lasting = new Map(this.values);
+    const value = readAccessMode(body.options);
+    if (value !== undefined) this.values.set('transaction_read_only', value);
   }
 
   /** Ends a transaction; what was set for the transaction only is undone. */
@@ -76,11 +89,21 @@
       });
       return;
     }
+    if (body.kind === 'VAR_SET_MULTI') {
+      this.setCharacteristics(name, readAccessMode(body.args));
+      return;
+    }
     const value = body.kind === 'VAR_SET_VALUE' ? formatArguments(body) : undefined;
     this.put(name, value, isLocal);
     if (name === 'session_authorization') this.put('role', undefined, isLocal);
   }
 
+  private setCharacteristics(name: string, accessMode: string | undefined): void {
+    if (accessMode === undefined) return;
+    if (name === 'TRANSACTION') this.put('transaction_read_only', accessMode, true);
+    else this.put('default_transaction_read_only', accessMode, false);
+  }
+
   private runSetConfig(
     body: Statement['body'],
     params: readonly SqlValue[],
@@ -114,3 +137,10 @@
     )
     .join(', ');
 }
+
+/** Returns on or off as set by READ ONLY or READ WRITE among the options of a transaction. */
+function readAccessMode(options: readonly Statement['body'][] = []): string | undefined {
+  const option = options.find(({ DefElem: item }) => item?.defname === 'transaction_read_only');
+  if (option === undefined) return undefined;
+  return option.DefElem.arg.A_Const.ival.ival === 1 ? 'on' : 'off';
+}
