Print texts of others without control characters on the command line

Change ids, values and error messages are texts of other operators and of callers.

Now control characters, those that change the direction of text, and line separators are printed as escapes. JSON has the same values as before.

--- a/packages/cli/src/core/output.ts
+++ b/packages/cli/src/core/output.ts
@@ -44,7 +44,7 @@
    */
   printReply(reply: AdminReply, format: ReplyFormatter): void {
     this.port.setExitCode(resolveExitCode(reply.status));
-    if (this.asJson) this.port.write(`${JSON.stringify(reply.body)}\n`);
+    if (this.asJson) this.port.write(`${escapeControls(JSON.stringify(reply.body))}\n`);
     else if (reply.status === 200) this.printLines(format(reply.body));
     else this.printError(reply.body);
   }
@@ -56,14 +56,18 @@
    * @param exitCode - exit code if there are findings
    */
   printFindings(findings: readonly Finding[], exitCode: number): void {
-    if (this.asJson) this.port.write(`${JSON.stringify({ findings })}\n`);
-    else for (const finding of findings) this.port.writeError(`${formatFinding(finding)}\n`);
+    if (this.asJson) this.port.write(`${escapeControls(JSON.stringify({ findings }))}\n`);
+    else {
+      for (const finding of findings) {
+        this.port.writeError(`${escapeControls(formatFinding(finding))}\n`);
+      }
+    }
     if (findings.length > 0) this.port.setExitCode(exitCode);
     else if (!this.asJson) this.port.write('valid\n');
   }
 
   private printLines(lines: readonly string[]): void {
-    for (const line of lines) this.port.write(`${line}\n`);
+    for (const line of lines) this.port.write(`${escapeControls(line)}\n`);
   }
 
   private printError(body: unknown): void {
@@ -72,7 +76,24 @@
       outcome?: string;
       findings?: Finding[];
     };
-    this.port.writeError(`${error ?? outcome ?? 'the request failed'}\n`);
-    for (const finding of findings ?? []) this.port.writeError(`  ${formatFinding(finding)}\n`);
+    this.port.writeError(`${escapeControls(error ?? outcome ?? 'the request failed')}\n`);
+    for (const finding of findings ?? []) {
+      this.port.writeError(`  ${escapeControls(formatFinding(finding))}\n`);
+    }
   }
 }
+
+/**
+ * Control characters of the terminal, and those that change the direction of text. Texts of callers and
+ * operators must neither begin a line nor change what is shown.
+ */
+const CONTROL_CHARACTERS = /[\p{Cc}\p{Cf}\u2028\u2029]/gu;
+
+/** Replaces control characters by escapes as in JSON. */
+function escapeControls(text: string): string {
+  return text.replaceAll(CONTROL_CHARACTERS, (char) =>
+    [...Array(char.length).keys()]
+      .map((index) => `\\u${char.charCodeAt(index).toString(16).padStart(4, '0')}`)
+      .join(''),
+  );
+}
