Give the instance's own requests a queue that no organisation shares

Requests for positions of a primary waited in the queue of an organisation named heatherledge, a name that operators can give. Its load would have delayed the reads of all organisations. Settings cannot name the new one.

--- a/packages/daemon/src/groups/position-registry.ts
+++ b/packages/daemon/src/groups/position-registry.ts
@@ -14,8 +14,8 @@
 const CONFIRMATION_TIMEOUT_MS = 1000;
 /** Maximum wait for the primary to become known, for a connection and for its response, each. */
 const RESPONSE_TIMEOUT_MS = 1500;
-/** Organisation under which the instance queues its own requests to members. */
-const INTERNAL_ORGANISATION = toBrand<OrganisationId>('heatherledge');
+/** Queue of the instance's own requests to members; settings cannot name such an organisation. */
+export const INTERNAL_ORGANISATION = toBrand<OrganisationId>('internal:heatherledge');
 
 /** Position trackers of all groups in use, created on first use. */
 export class PositionRegistry {
