Refuse messages whose strings have no end

A Parse or Bind message without the zero byte after a string was split at the start of the message: bytes of its header were sent on as types or values, and of a Describe or Close message the last letter of the name was cut, so it named another statement of the session. Such a request is now refused with an error. A property test parses names and texts of any characters.

--- a/packages/wire/src/frontend-messages.ts
+++ b/packages/wire/src/frontend-messages.ts
@@ -82,6 +82,7 @@
 /**
  * @param bytes - a whole Parse message
  * @returns its parts
+ * @throws RangeError if a string has no end
  */
 export function parseParseMessage(bytes: Buffer): ParseMessage {
   const reader = createBodyReader(bytes);
@@ -93,6 +94,7 @@
 /**
  * @param bytes - a whole Bind message
  * @returns its parts
+ * @throws RangeError if a string has no end
  */
 export function parseBindMessage(bytes: Buffer): BindMessage {
   const reader = createBodyReader(bytes);
@@ -104,10 +106,13 @@
 /**
  * @param bytes - a whole Describe or Close message
  * @returns the statement or portal that it refers to
+ * @throws RangeError if its name has no end
  */
 export function parseMessageTarget(bytes: Buffer): MessageTarget {
   const kind = bytes[5] === 0x53 ? 'statement' : 'portal';
-  return { kind, name: bytes.toString('utf8', 6, bytes.length - 1) };
+  const end = bytes.indexOf(0, 6);
+  if (end < 0) throw new RangeError('a string of the message has no end');
+  return { kind, name: bytes.toString('utf8', 6, end) };
 }
 
 /**
@@ -159,9 +164,16 @@
   return reader;
 }
 
-/** @returns offset of the first byte after a number of zero-terminated strings */
+/**
+ * @returns offset of the first byte after a number of zero-terminated strings
+ * @throws RangeError if one of them has no end
+ */
 function findEndOfStrings(bytes: Buffer, count: number): number {
   let offset = 5;
-  for (let index = 0; index < count; index += 1) offset = bytes.indexOf(0, offset) + 1;
+  for (let index = 0; index < count; index += 1) {
+    const end = bytes.indexOf(0, offset);
+    if (end < 0) throw new RangeError('a string of the message has no end');
+    offset = end + 1;
+  }
   return offset;
 }
--- a/packages/wire/test/units/wire.test.ts
+++ b/packages/wire/test/units/wire.test.ts
@@ -2,11 +2,16 @@
   createCommandComplete,
   createDataRow,
   createErrorResponse,
+  createFrontendMessage,
   createReadyForQuery,
   FrameLengthError,
   FrameSplitter,
+  FrontendCode,
+  parseBindMessage,
   parseDataRow,
   parseErrorResponse,
+  parseMessageTarget,
+  parseParseMessage,
   parseReadyForQuery,
   parseStartup,
 } from '@heatherledge/wire';
@@ -66,6 +71,34 @@
     expect(parseErrorResponse(error)).toEqual({ code: '40001', message: 'no', hint: 'again' });
   });
 
+  describe('with names and texts of any characters', () => {
+    const text = fc.string({ unit: 'binary' }).map((value) => value.replaceAll('\0', ''));
+
+    it('parse to what they were built from', () => {
+      fc.assert(
+        fc.property(text, text, fc.uint8Array(), (name, body, bytes) => {
+          const rest = Buffer.from(bytes);
+          const parse = createFrontendMessage(FrontendCode.Parse, [name, body], rest);
+          expect(parseParseMessage(parse)).toEqual({ name, text: body, rest });
+          const bind = createFrontendMessage(FrontendCode.Bind, [name, body], rest);
+          expect(parseBindMessage(bind)).toEqual({ portal: name, statement: body, rest });
+          const target = createFrontendMessage(FrontendCode.Close, [`S${name}`]);
+          expect(parseMessageTarget(target)).toEqual({ kind: 'statement', name });
+        }),
+        { seed: 4 },
+      );
+    });
+
+    it('are refused if a string has no end', () => {
+      const body = Buffer.from('S\0DELETE FROM items WHERE id = 12');
+      const message = createFrontendMessage(FrontendCode.Parse, [], body);
+      expect(() => parseParseMessage(message)).toThrow(RangeError);
+      expect(() => parseBindMessage(message)).toThrow(RangeError);
+      const target = createFrontendMessage(FrontendCode.Close, [], Buffer.from('Sname'));
+      expect(() => parseMessageTarget(target)).toThrow(RangeError);
+    });
+  });
+
   it('parse a first packet of any bytes without an error', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 100 }), (packet) => {
