Let a team's operator issue keys and routes for what the team owns only

What an operator could do: with a credential for teams/b/, issue a key for an organisation of teams/a/ (POST /v1/keys showed it in plain text) and act as that organisation, or open a route without keys to a database group of teams/a/. The tests of change-ids.test.ts got 200 in place of 403 before.

Cause: a path was compared with the operator's subtree, the ids that its value refers to were not, and ids hold over all teams.

Now a key's organisation and a route's group must not be defined outside of the operator's subtree; otherwise the change is refused (403, nothing changed). An operator whose subtree covers both can still make such a setting. What is stored already stays in force. The organisations that a route admits may be others', as that gives access to the team's own group.

--- a/packages/daemon/src/admin/admin-api.ts
+++ b/packages/daemon/src/admin/admin-api.ts
@@ -11,6 +11,7 @@
 import * as z from 'zod';
 import type { ChangeOutcome, ChangeRequest, AuditRecord } from '../settings/settings-store.js';
 import type { AdminResponse, AdminRequest } from './admin-server.js';
+import { findForeignReferences } from './reference-access.js';
 import type { Explanation, ExplainRequest } from './explain.js';
 import { OPENAPI_DOCUMENT } from './openapi.js';
 
@@ -172,7 +173,7 @@
   }
 
   private async applyChange(request: ChangeRequest, operator: Operator): Promise<AdminResponse> {
-    const forbidden = request.changes.filter(({ path }) => !mayAccess(operator, path));
+    const forbidden = this.listForbiddenPaths(request.changes, operator);
     if (forbidden.length > 0) return createForbiddenError(forbidden, operator);
     const outcome = await this.port.changeSettings(request);
     const { changeId } = request;
@@ -182,6 +183,13 @@
     };
   }
 
+  private listForbiddenPaths(changes: readonly PathChange[], operator: Operator): string[] {
+    const isCovered = (path: string): boolean => mayAccess(operator, path);
+    const outside = changes.map(({ path }) => path).filter((path) => !isCovered(path));
+    const paths = this.port.getSettings().values.keys();
+    return [...outside, ...findForeignReferences(changes, paths, isCovered)];
+  }
+
   private async readHistory(operator: Operator): Promise<AdminResponse> {
     try {
       const records = await this.port.readHistory();
@@ -217,11 +225,11 @@
   return { status: 400, body: { error: 'the request is malformed', findings } };
 }
 
-function createForbiddenError(forbidden: readonly PathChange[], operator: Operator): AdminResponse {
-  const findings = forbidden.map(({ path }) => ({
+function createForbiddenError(forbidden: readonly string[], operator: Operator): AdminResponse {
+  const findings = forbidden.map((path) => ({
     source: path,
     field: '',
-    message: `outside of "${operator.credential.subtree}"`,
+    message: `is or refers to a path outside of "${operator.credential.subtree}"`,
   }));
   return { status: 403, body: { error: 'the credential does not cover the paths', findings } };
 }
--- a/packages/daemon/test/serving/change-ids.test.ts
+++ b/packages/daemon/test/serving/change-ids.test.ts
@@ -106,3 +106,36 @@
     },
   );
 });
+
+describe('a key', () => {
+  const digest = 'a'.repeat(64);
+
+  async function issue(organisation: string, token: string): Promise<number> {
+    const path = `teams/b/keys/for-${organisation}`;
+    const value = {
+      organisation,
+      digest: digest.replace('a', token.startsWith('team') ? 'b' : 'c'),
+    };
+    const request = { changes: [{ path, value }] };
+    return (await fleet.callAdmin(0, '/v1/settings', request, token)).status;
+  }
+
+  it("for an organisation of another team is refused to a team's operator", async () => {
+    expect(await issue('one', 'team-token')).toBe(403);
+    const request = { path: 'teams/b/keys/one', organisation: 'one' };
+    expect((await fleet.callAdmin(0, '/v1/keys', request, 'team-token')).status).toBe(403);
+    expect(await issue('one', 'token')).toBe(200);
+  });
+
+  it("and a route to a group of another team is refused to a team's operator", async () => {
+    const route = { path: 'teams/b/routes/borrowed', value: { group: 'shop-1', open: true } };
+    const request = { changes: [route] };
+    expect((await fleet.callAdmin(0, '/v1/settings', request, 'team-token')).status).toBe(403);
+    expect((await fleet.callAdmin(0, '/v1/settings', request)).status).toBe(200);
+  });
+
+  it("for an organisation of the operator's own team is accepted", async () => {
+    expect((await change('teams/b/organisations/own', 'own', 'team-token')).status).toBe(200);
+    expect(await issue('own', 'team-token')).toBe(200);
+  });
+});
