Limit what a caller's texts occupy in an instance

The classifier kept 5000 texts of any length, up to the limit of a message each (by reading the code; the test of its cache is new). Now a request above 32 MiB is refused with 54000 and the connection is closed, and texts above 4096 characters are not cached. A test holds that a backslash is read as a plain character, for which standard_conforming_strings = off is refused.

--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -4,6 +4,7 @@
   instanceStopping,
   keyRejected,
   keyWithdrawn,
+  messageTooLarge,
   type Milliseconds,
   parameterRejected,
   protocolViolation,
@@ -49,6 +50,8 @@
   'ProtocolViolation',
 ]);
 const ABORTED_TRANSACTION_ERROR = { code: '25P02', message: 'current transaction is aborted' };
+/** Maximum length of the messages up to a Sync together, in bytes. */
+const MAX_REQUEST_BYTES = 32 * 1024 * 1024;
 const LATE_KEY_REASON =
   'heatherledge.idempotency_key came after the first statement of its transaction';
 /** Statements that the proxy keeps for a session, which have to stand alone in a request. */
@@ -76,6 +79,8 @@
   /** Messages of the extended protocol since the last Sync. */
   private extendedFrames: Frame[] = [];
 
+  private extendedBytes = 0;
+
   private running = false;
 
   private ended = false;
@@ -111,13 +116,14 @@
         this.extendedFrames.push(copyFrame(frame));
         this.enqueue(this.extendedFrames);
         this.extendedFrames = [];
+        this.extendedBytes = 0;
         break;
       case FrontendCode.Parse:
       case FrontendCode.Bind:
       case FrontendCode.Describe:
       case FrontendCode.Execute:
       case FrontendCode.Close:
-        this.extendedFrames.push(copyFrame(frame));
+        this.addExtendedFrame(frame);
         break;
       case FrontendCode.Flush:
         this.abort(ProxyError.create(featureRefused, { reason: 'Flush without Sync' }));
@@ -182,6 +188,16 @@
     this.transactions.abandon();
   }
 
+  private addExtendedFrame(frame: Frame): void {
+    if (this.ended) return;
+    this.extendedFrames.push(copyFrame(frame));
+    this.extendedBytes += frame.bytes.length;
+    if (this.extendedBytes <= MAX_REQUEST_BYTES) return;
+    this.extendedFrames = [];
+    const sizes = { sizeBytes: this.extendedBytes, limitBytes: MAX_REQUEST_BYTES };
+    this.abort(ProxyError.create(messageTooLarge, sizes));
+  }
+
   private enqueue(frames: readonly Frame[]): void {
     if (this.ended) return;
     this.queue.push(frames);
--- a/packages/daemon/src/sql/statement-classifier.ts
+++ b/packages/daemon/src/sql/statement-classifier.ts
@@ -34,6 +34,9 @@
   'txid_current',
   'pg_current_xact_id',
 ]);
+/** Longer texts are not cached, as they are rarely sent twice and would fill the memory. */
+const MAX_CACHED_TEXT_LENGTH = 4096;
+
 /** Classifies statements with PostgreSQL's grammar and caches the classes by SQL text. */
 export class StatementClassifier {
   private readonly cache = new Map<string, readonly StatementClass[]>();
@@ -46,6 +49,11 @@
     await loadModule();
   }
 
+  /** @returns length of all cached texts together */
+  get cachedLength(): number {
+    return [...this.cache.keys()].reduce((sum, text) => sum + text.length, 0);
+  }
+
   /**
    * Classifies the statements of an SQL text.
    *
@@ -56,6 +64,7 @@
     const cached = this.cache.get(text);
     if (cached !== undefined) return cached;
     const classes = classifyText(text);
+    if (text.length > MAX_CACHED_TEXT_LENGTH) return classes;
     if (this.cache.size >= this.cacheSize) {
       this.cache.delete(this.cache.keys().next().value as string);
     }
--- a/packages/daemon/test/serving/odd-texts.test.ts
+++ b/packages/daemon/test/serving/odd-texts.test.ts
@@ -115,6 +115,16 @@
   return withCaller(async (caller) => showAtPrimary(caller, name));
 }
 
+describe('a request without an end', () => {
+  it('is refused above a total length, and the connection is closed', async () => {
+    const megabyte = createParse('', 'x'.repeat(1_000_000));
+    const { errors } = await withCaller(async (caller) =>
+      caller.send(Buffer.concat(Array<Buffer>(34).fill(megabyte))),
+    );
+    expect(errors).toEqual([expect.stringContaining('54000')]);
+  });
+});
+
 describe('session parameters', () => {
   const use = ['BEGIN', 'SELECT 1', 'COMMIT'];
 
--- a/packages/daemon/test/units/statement-classifier.test.ts
+++ b/packages/daemon/test/units/statement-classifier.test.ts
@@ -28,6 +28,25 @@
     });
   });
 
+  it('reads a backslash as a plain character, as members must then do', () => {
+    expect(classify("SELECT '\\' , '; DELETE FROM items; --'")).toEqual(['read']);
+    expect(classify('SET standard_conforming_strings = off')).toEqual(['refused']);
+    expect(classify("SELECT set_config('standard_conforming_strings', 'off', true)")).toEqual([
+      'refused',
+    ]);
+    expect(classify("SET LOCAL client_encoding = 'SJIS'")).toEqual(['refused']);
+  });
+
+  it('keeps no long texts', () => {
+    const classifier = new StatementClassifier(10);
+    for (const letter of ['a', 'b', 'c']) {
+      const text = `SELECT '${letter.repeat(100_000)}'`;
+      expect(classifier.classify(text)).toEqual([{ kind: 'read' }]);
+    }
+    expect(classifier.classify('SELECT 1')).toBe(classifier.classify('SELECT 1'));
+    expect(classifier.cachedLength).toBeLessThan(100);
+  });
+
   describe('with a statement inside of another', () => {
     it.each([
       'CREATE TABLE t AS EXECUTE hl_x',
