Restore a session's parameters to those before the transaction that is rolled back

A query such as 'BEGIN; SELECT 1' opens a transaction at the member, and the ROLLBACK after it set the session's parameters to those before an earlier transaction: SET search_path was lost. They are noted before each request outside of a transaction now.

--- a/packages/daemon/src/callers/caller-session.ts
+++ b/packages/daemon/src/callers/caller-session.ts
@@ -221,6 +221,7 @@
     const startedAt = this.context.clock.now();
     try {
       this.checkKey();
+      if (this.transactions.status === 'idle') this.state.saveParameters();
       await this.dispatchRequest(createRequest(frames, this.state.statements));
     } catch (error) {
       await this.handleError(error);
--- a/packages/daemon/src/callers/local-statements.ts
+++ b/packages/daemon/src/callers/local-statements.ts
@@ -63,7 +63,6 @@
   }
 
   private beginTransaction(text: string, isReadOnly: boolean): void {
-    this.state.saveParameters();
     this.state.isTransactionReadOnly = isReadOnly;
     this.transactions.begin(text);
   }
--- a/packages/daemon/test/serving/odd-texts.test.ts
+++ b/packages/daemon/test/serving/odd-texts.test.ts
@@ -209,6 +209,15 @@
     });
   });
 
+  it('stay after a rollback of a transaction that a query with other statements has opened', async () => {
+    await withCaller(async (caller) => {
+      await caller.query('SET search_path = own');
+      await caller.query('BEGIN; SELECT 1');
+      await caller.query('ROLLBACK');
+      expect(await showAtPrimary(caller, 'search_path')).toBe('own');
+    });
+  });
+
   it.each([
     'SET standard_conforming_strings = off',
     "SET client_encoding = 'SJIS'",
