--- a/packages/daemon/src/admin/admin-api.ts
+++ b/packages/daemon/src/admin/admin-api.ts
@@ -2,6 +2,7 @@
 import {
   createKeyDigest,
   type CredentialSettings,
+  INTERNAL_PREFIX,
   type OrganisationId,
   type PathChange,
   type SettingsIndex,
@@ -10,6 +11,7 @@
 import * as z from 'zod';
 import type { ChangeOutcome, ChangeRequest, AuditRecord } from '../settings/settings-store.js';
 import type { AdminResponse, AdminRequest } from './admin-server.js';
+import { findForeignReferences } from './reference-access.js';
 import type { Explanation, ExplainRequest } from './explain.js';
 import { OPENAPI_DOCUMENT } from './openapi.js';
 
@@ -33,17 +35,20 @@
   formatMetrics(): Promise<string>;
 }
 
+const INTERNAL_MESSAGE = `begins with ${INTERNAL_PREFIX}, which is for the instances' own records`;
+const externalPath = z.string().min(1).refine(isExternal, INTERNAL_MESSAGE);
+
 const changeSchema = z.strictObject({
   changes: z
-    .array(z.strictObject({ path: z.string().min(1), value: z.unknown().optional() }))
+    .array(z.strictObject({ path: externalPath, value: z.unknown().optional() }))
     .min(1)
     .max(10_000),
   expectedRevision: z.number().int().optional(),
-  changeId: z.string().min(1).max(100).optional(),
+  changeId: z.string().min(1).max(100).refine(isExternal, INTERNAL_MESSAGE).optional(),
 });
 
 const keyRequestSchema = z.strictObject({
-  path: z.string().min(1),
+  path: externalPath,
   organisation: z.string().min(1),
 });
 
@@ -168,7 +173,7 @@
   }
 
   private async applyChange(request: ChangeRequest, operator: Operator): Promise<AdminResponse> {
-    const forbidden = request.changes.filter(({ path }) => !mayAccess(operator, path));
+    const forbidden = this.listForbiddenPaths(request.changes, operator);
     if (forbidden.length > 0) return createForbiddenError(forbidden, operator);
     const outcome = await this.port.changeSettings(request);
     const { changeId } = request;
@@ -178,6 +183,13 @@
     };
   }
 
+  private listForbiddenPaths(changes: readonly PathChange[], operator: Operator): string[] {
+    const isCovered = (path: string): boolean => mayAccess(operator, path);
+    const outside = changes.map(({ path }) => path).filter((path) => !isCovered(path));
+    const paths = this.port.getSettings().values.keys();
+    return [...outside, ...findForeignReferences(changes, paths, isCovered)];
+  }
+
   private async readHistory(operator: Operator): Promise<AdminResponse> {
     try {
       const records = await this.port.readHistory();
@@ -191,6 +203,10 @@
   }
 }
 
+function isExternal(text: string): boolean {
+  return !text.startsWith(INTERNAL_PREFIX);
+}
+
 /** A credential covers the paths that begin with its subtree, for reading and for writing. */
 function mayAccess(operator: Operator, path: string): boolean {
   return path.startsWith(operator.credential.subtree);
@@ -209,11 +225,11 @@
   return { status: 400, body: { error: 'the request is malformed', findings } };
 }
 
-function createForbiddenError(forbidden: readonly PathChange[], operator: Operator): AdminResponse {
-  const findings = forbidden.map(({ path }) => ({
+function createForbiddenError(forbidden: readonly string[], operator: Operator): AdminResponse {
+  const findings = forbidden.map((path) => ({
     source: path,
     field: '',
-    message: `outside of "${operator.credential.subtree}"`,
+    message: `is or refers to a path outside of "${operator.credential.subtree}"`,
   }));
   return { status: 403, body: { error: 'the credential does not cover the paths', findings } };
 }
--- a/packages/daemon/src/callers/caller-state.ts
+++ b/packages/daemon/src/callers/caller-state.ts
@@ -7,6 +7,14 @@
 } from '@heatherledge/core';
 import type { SessionStatements } from './caller-request.js';
 
+const READ_ONLY_PARAMETERS = new Set([
+  'default_transaction_read_only',
+  'transaction_read_only',
+  'SESSION CHARACTERISTICS',
+]);
+/** Statements that forbid writes with these parameters. */
+const FORBIDS_WRITES = /read\s+only|\b(on|true|yes|1)\b/i;
+
 /** State that a caller's session keeps from one request to the next. */
 export class CallerState {
   /** Log position that the session's next read must include. */
@@ -21,8 +29,14 @@
   /** Prepared statements by the caller's names. */
   readonly statements: SessionStatements = new Map();
 
-  /** Session parameters that the caller has set: SQL statement by parameter name. */
-  readonly parameters = new Map<string, string>();
+  /** Session parameters that the caller has set: SQL statement by name, in the order of the last SET. */
+  private parameters: ReadonlyMap<string, string> = new Map();
+
+  /** Whether the caller has opened its transaction as read-only. */
+  isTransactionReadOnly = false;
+
+  /** Parameters that a rollback of the open transaction restores. */
+  private parametersAtBegin: ReadonlyMap<string, string> = new Map();
 
   /** Position that the caller has last been sent. */
   private reportedPosition: SessionPosition | undefined;
@@ -38,6 +52,13 @@
     readonly keyDigest: KeyDigest | undefined,
   ) {}
 
+  /** @returns the parameters that hold for the next request; the key is removed */
+  takeParameters(): Pick<CallerState, 'maxAgeMs' | 'idempotencyKey'> {
+    const { maxAgeMs, idempotencyKey } = this;
+    this.idempotencyKey = undefined;
+    return { maxAgeMs, idempotencyKey };
+  }
+
   /** @param position - a confirmed position that a response included */
   advancePosition(position: SessionPosition): void {
     this.position = mergePositions(this.position, position);
@@ -56,6 +77,41 @@
 
   /** @returns SQL statements that set this session's parameters on a connection, as one text */
   get parameterSql(): string {
-    return [...this.parameters.values()].join(';');
+    // A statement may end with a comment that extends to the end of its line.
+    return [...this.parameters.values()].join('\n;');
+  }
+
+  /** @returns whether the caller has forbidden writes itself, so that their refusal is none by a replica */
+  get isReadOnly(): boolean {
+    if (this.isTransactionReadOnly) return true;
+    return [...this.parameters].some(
+      ([name, sql]) => READ_ONLY_PARAMETERS.has(name) && FORBIDS_WRITES.test(sql),
+    );
+  }
+
+  /**
+   * Keeps a session parameter.
+   *
+   * @param name - name of the parameter
+   * @param sql - SQL statement that sets it
+   */
+  setParameter(name: string, sql: string): void {
+    const others = [...this.parameters].filter(([other]) => other !== name);
+    this.parameters = new Map([...others, [name, sql]]);
+  }
+
+  /** @param keptNames - parameters that stay set */
+  resetParameters(keptNames: ReadonlySet<string>): void {
+    this.parameters = new Map([...this.parameters].filter(([name]) => keptNames.has(name)));
+  }
+
+  /** Marks the parameters as those before a transaction. */
+  saveParameters(): void {
+    this.parametersAtBegin = this.parameters;
+  }
+
+  /** Returns to the parameters before the transaction. */
+  restoreParameters(): void {
+    this.parameters = this.parametersAtBegin;
   }
 }
--- a/packages/daemon/src/callers/connection-lease.ts
+++ b/packages/daemon/src/callers/connection-lease.ts
@@ -2,8 +2,14 @@
 import type { UpstreamConnection } from '../upstreams/upstream-connection.js';
 import type { UpstreamPool } from '../upstreams/upstream-pool.js';
 
+/** Undoes what a session has set; RESET ALL alone leaves the role and the user. */
+const RESET_SQL = 'SET SESSION AUTHORIZATION DEFAULT;RESET ROLE;RESET ALL';
+
 /** A pooled connection reserved for one request or transaction. */
 export class ConnectionLease {
+  /** SQL statements that set the session's parameters, as one text. */
+  parameterSql = '';
+
   private isEnded = false;
 
   constructor(
@@ -34,8 +40,9 @@
    */
   async applyParameters(parameterSql: string): Promise<void> {
     const { connection } = this;
+    this.parameterSql = parameterSql;
     if (connection.appliedParameters === parameterSql) return;
-    await connection.query(parameterSql === '' ? 'RESET ALL' : `RESET ALL;${parameterSql}`);
+    await connection.query(`${RESET_SQL};${parameterSql}`);
     connection.appliedParameters = parameterSql;
   }
 }
--- a/packages/daemon/src/callers/response-writer.ts
+++ b/packages/daemon/src/callers/response-writer.ts
@@ -6,7 +6,7 @@
   parseErrorResponse,
 } from '@heatherledge/wire';
 import type { ResponseSink } from '../upstreams/upstream-connection.js';
-import type { UpstreamRequest } from './caller-request.js';
+import type { UpstreamRequest } from './request-rewriter.js';
 
 /** SQLSTATE with which a read-only member refuses a write. */
 export const READ_ONLY_SQLSTATE = '25006';
@@ -37,6 +37,9 @@
   /** Fields of the member's error response, if any; also set if the error is hidden from the caller. */
   failure: ErrorFields | undefined;
 
+  /** Whether an error response was hidden from the caller, who has received nothing. */
+  hasHiddenError = false;
+
   /** Command tag of the last statement. */
   lastTag = '';
 
@@ -78,8 +81,9 @@
     if (this.isAbandoned || this.isHidden(frame)) return true;
     if (frame.type === BackendCode.ErrorMessage) {
       this.failure = parseErrorResponse(frame.bytes);
-      const isHiddenError = this.hidesReadOnlyError && this.failure.code === READ_ONLY_SQLSTATE;
-      if (isHiddenError && !this.hasForwarded) return true;
+      const isHidden = this.hidesReadOnlyError && this.failure.code === READ_ONLY_SQLSTATE;
+      this.hasHiddenError = isHidden && !this.hasForwarded;
+      if (this.hasHiddenError) return true;
     }
     this.forwardHeldCompletion();
     if (frame.type === BackendCode.CommandComplete) {
@@ -164,6 +168,7 @@
   private isHidden({ type }: Frame): boolean {
     if (type === BackendCode.ParameterStatus) return true;
     if (type === BackendCode.ParseComplete) {
+      this.request.onParsed?.(this.parseCompleteCount);
       this.parseCompleteCount += 1;
       return this.request.hideParse[this.parseCompleteCount - 1] ?? false;
     }
--- a/packages/daemon/src/upstreams/upstream-connection.ts
+++ b/packages/daemon/src/upstreams/upstream-connection.ts
@@ -10,6 +10,7 @@
   type TransactionStatus,
 } from '@heatherledge/wire';
 import { serialize } from 'pg-protocol';
+import { PreparedStatements } from './prepared-statements.js';
 
 const MAX_MESSAGE_BYTES = 1024 * 1024 * 1024;
 
@@ -63,11 +64,13 @@
 
 /** A connection to a member, used by one request or transaction at a time. */
 export class UpstreamConnection {
-  /** Names of the prepared statements that exist on the connection. */
-  readonly preparedNames = new Set<string>();
+  /** Prepared statements that exist on the connection. */
+  readonly prepared = new PreparedStatements();
 
-  /** Session parameters that were last applied, as one SQL text. */
-  appliedParameters = '';
+  /** Session parameters that are in force, as one SQL text; undefined if a statement may have set others. */
+  appliedParameters: string | undefined = '';
+
+  private unknownScopeCount = 0;
 
   private pendingExchanges: Exchange[] = [];
 
@@ -107,6 +110,17 @@
     }
   }
 
+  /** @returns text that identifies the session parameters in force */
+  get parameterScope(): string {
+    return this.appliedParameters ?? `unknown ${this.unknownScopeCount}`;
+  }
+
+  /** Notes that a statement may set session parameters, so that they are reset before the next session. */
+  markParametersUnknown(): void {
+    this.appliedParameters = undefined;
+    this.unknownScopeCount += 1;
+  }
+
   /** @returns whether the connection is open and no request runs on it */
   get isUsable(): boolean {
     return this.lostError === undefined && this.pendingExchanges.length === 0;
