--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -48,10 +48,16 @@
   readonly values: ReadonlyMap<string, string>;
 }
 
+/** Numbers the connections of the process. */
+let lastNumber = 0;
+
 /** One connection to a member: sends commands and matches the replies to them. */
 export class MemberConnection implements MemberHandler {
   readonly organisation: OrganisationId | undefined;
 
+  /** Identifies the connection in the log. */
+  readonly number: number;
+
   isOpen = false;
 
   isClosed = false;
@@ -80,6 +86,8 @@
     private readonly clock: Clock,
   ) {
     this.organisation = target.organisation;
+    lastNumber += 1;
+    this.number = lastNumber;
     this.idleSince = clock.now();
     this.channel = connector.open(target, this);
   }
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -225,8 +225,8 @@
     this.listener.onReply(this.entry, exchange);
   }
 
-  onPrepare(_: MemberConnection, command: PrepareCommand): void {
-    this.listener.onPrepare(this.entry, command);
+  onPrepare(connection: MemberConnection, command: PrepareCommand): void {
+    this.listener.onPrepare(this.entry, connection, command);
   }
 
   onClosed(connection: MemberConnection, error: WireError | undefined): void {
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -18,7 +18,7 @@
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
-import type { ExchangeResult } from './member-connection.js';
+import type { ExchangeResult, MemberConnection } from './member-connection.js';
 import { MemberPool } from './member-pool.js';
 import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
@@ -216,8 +216,13 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
-  onPrepare(entry: MemberEntry, { name, access, shape }: PrepareCommand): void {
-    this.log.info('member.prepare', { member: entry.id, name, access, shape });
+  onPrepare(
+    entry: MemberEntry,
+    { number, organisation }: MemberConnection,
+    { name, access, shape }: PrepareCommand,
+  ): void {
+    const fields = { member: entry.id, connection: number, organisation, name, access, shape };
+    this.log.info('member.prepare', fields);
   }
 
   /** @returns the members' part of the state dump */
--- a/packages/gateway/src/members/pool-listener.ts
+++ b/packages/gateway/src/members/pool-listener.ts
@@ -1,13 +1,13 @@
 import type { MemberEntry } from '@heatherledge/core';
 import type { PrepareCommand } from '../ports/member-protocol.js';
-import type { ExchangeResult } from './member-connection.js';
+import type { ExchangeResult, MemberConnection } from './member-connection.js';
 
 /** Receives what a pool observes of its member. */
 export interface PoolListener {
   onReply(entry: MemberEntry, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void;
   onUnreachable(entry: MemberEntry, reason: string): void;
   onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
-  onPrepare(entry: MemberEntry, command: PrepareCommand): void;
+  onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void;
 }
 
 /** Limits of a pool. */
