--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -101,7 +101,7 @@
    * @returns how it ended
    */
   async exchange(command: MemberCommand, timeoutMs: number): Promise<ExchangeResult> {
-    // The statement that waits for its setup is sent first.
+    // A statement that waits for its setup goes first, so that a rollback does not overtake it.
     if (this.pendingSetup !== undefined) await this.pendingSetup;
     if (this.isClosed) return { kind: 'lost', reason: 'the connection is closed', wasSent: false };
     return new Promise((resolve) => {
@@ -167,9 +167,12 @@
   }
 
   /**
-   * @param setup - commands without which the command would run in another state; their replies are
-   * awaited
+   * Sends a command once the member has confirmed its setup.
+   *
+   * @param setup - commands without which the command would run in another state
    * @param preparation - commands without which the member refuses the command; sent together with it
+   * @param command - the command
+   * @param timeoutMs - maximum wait for all replies, in milliseconds
    */
   private async exchangeAfterSetup(
     setup: readonly MemberCommand[],
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -216,11 +216,9 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
-  onPrepare(
-    entry: MemberEntry,
-    { number, organisation }: MemberConnection,
-    { name, access, shape }: PrepareCommand,
-  ): void {
+  onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void {
+    const { number, organisation } = connection;
+    const { name, access, shape } = command;
     const fields = { member: entry.id, connection: number, organisation, name, access, shape };
     this.log.info('member.prepare', fields);
   }
