--- a/packages/daemon/src/admin/openapi.ts
+++ b/packages/daemon/src/admin/openapi.ts
@@ -18,7 +18,8 @@
     },
     changeId: {
       type: 'string',
-      description: 'Chosen by the asker; the same id is never applied twice.',
+      description:
+        'Chosen by the asker; the same id is never applied twice, and refused for another change.',
     },
   },
 };
--- a/packages/gateway/src/members/prepared-names.ts
+++ b/packages/gateway/src/members/prepared-names.ts
@@ -1,17 +1,16 @@
 import type { MemberCommand, PrepareCommand } from '../ports/member-protocol.js';
 import type { PreparedStatement } from './prepared-statement.js';
 
-const LETTERS = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789';
-const ONE_LETTER_NAMES = [...LETTERS];
-/** Statements that stay prepared on a connection under names of two letters. */
-const TWO_LETTER_NAME_COUNT = 256;
-const TWO_LETTER_NAMES = Array.from(
-  { length: TWO_LETTER_NAME_COUNT },
-  (_, index) => `${LETTERS[Math.floor(index / LETTERS.length)]}${LETTERS[index % LETTERS.length]}`,
-);
+const NAME_CHARACTERS = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789';
+const ONE_CHARACTER_NAMES = [...NAME_CHARACTERS];
+/** Statements that stay prepared on a connection under names of two characters. */
+const TWO_CHARACTER_NAME_COUNT = 256;
+const TWO_CHARACTER_NAMES = ONE_CHARACTER_NAMES.flatMap((first) =>
+  ONE_CHARACTER_NAMES.map((second) => `${first}${second}`),
+).slice(0, TWO_CHARACTER_NAME_COUNT);
 
 /** Maximum number of statements that stay prepared on one connection. */
-export const MAX_PREPARED_STATEMENTS = ONE_LETTER_NAMES.length + TWO_LETTER_NAMES.length;
+export const MAX_PREPARED_STATEMENTS = ONE_CHARACTER_NAMES.length + TWO_CHARACTER_NAMES.length;
 
 /** The name of a statement at a member, and the commands that prepare it under that name. */
 export interface NamedStatement {
@@ -64,9 +63,9 @@
  * statement, and are no longer than the names that callers chose.
  */
 export class PreparedNames {
-  private readonly short = new NamePool(ONE_LETTER_NAMES);
+  private readonly short = new NamePool(ONE_CHARACTER_NAMES);
 
-  private readonly long = new NamePool(TWO_LETTER_NAMES);
+  private readonly long = new NamePool(TWO_CHARACTER_NAMES);
 
   /**
    * @param statement - statement that is to run
