--- a/packages/core/src/serving/fleet-settings.ts
+++ b/packages/core/src/serving/fleet-settings.ts
@@ -22,8 +22,13 @@
   readonly priority: number;
   /** Whether callers without a key are served. */
   readonly isPublic: boolean;
+  /** Regions whose members and instances may get the route's requests; undefined for all. */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
+/** Regions to which requests are restricted; never empty. */
+export type AllowedRegions = ReadonlySet<string>;
+
 /** Limits of one upstream group. */
 export interface UpstreamGroup {
   readonly id: GroupId;
@@ -31,6 +36,16 @@
   readonly maxConnections: number;
   /** Replicas that must have received a commit before it is acknowledged. */
   readonly syncReplicas: number;
+  /** How members serve after a start; undefined if they serve at full speed at once. */
+  readonly warmup?: GroupWarmup | undefined;
+}
+
+/** How the members of a group serve after a start. */
+export interface GroupWarmup {
+  /** Time for which a member stays slow. */
+  readonly durationMs: Milliseconds;
+  /** Requests a second that one slow member may get from all instances together. */
+  readonly requestsPerSecond: number;
 }
 
 /** Rate limit of one organisation. */
@@ -38,6 +53,8 @@
   readonly id: OrganisationId;
   readonly requestsPerSecond: number;
   readonly burst: number;
+  /** Regions whose members and instances may get the organisation's requests; undefined for all. */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
 /** One accepted version of the operators' settings for the fleet; immutable. */
@@ -71,4 +88,6 @@
   readonly incarnation: number;
   /** Increases with each entry of an incarnation; absent if the entry does not name it. */
   readonly sequence?: number | undefined;
+  /** How much longer the member stays slow after its start, when the entry was written. */
+  readonly warmupRemainingMs?: Milliseconds | undefined;
 }
--- a/packages/gateway/src/ports/fleet-directory.ts
+++ b/packages/gateway/src/ports/fleet-directory.ts
@@ -19,10 +19,14 @@
   readonly settingsKey: string;
   /** Prefix of the members' entries. */
   readonly membersPrefix: string;
+  /** Prefix of the operators' requests to evacuate a failure domain; undefined if there are none. */
+  readonly evacuationsPrefix?: string | undefined;
   /** @returns the settings, or why they cannot be decoded */
   decodeSettings(value: Buffer): Result<FleetSettings, string>;
   /** @returns the member's entry, or why it cannot be decoded */
   decodeMember(key: string, value: Buffer): Result<MemberEntry, string>;
+  /** @returns the failure domain that a request to evacuate names, or why it names none */
+  decodeEvacuation?(key: string): Result<string, string>;
 }
 
 /** Outcome of a request to promote a member. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -17,4 +17,19 @@
   readonly maxKeyRevocationDelayMs: Milliseconds;
   /** How far an organisation may exceed its rate. */
   readonly rateTolerance: RateTolerance;
+  /**
+   * Time after the acknowledgement of an evacuation within which requests to the members of the failure
+   * domain must stop; undefined if the deployment has no such bound.
+   */
+  readonly maxEvacuationDelayMs?: Milliseconds | undefined;
+  /** Tolerated excess over the pace of members that have just started; undefined without a bound. */
+  readonly warmupTolerance?: WarmupTolerance | undefined;
+}
+
+/** How far a member that has just started may get more requests than its pace in one second. */
+export interface WarmupTolerance {
+  /** Factor on the pace. */
+  readonly overshoot: number;
+  /** Requests tolerated in addition. */
+  readonly slack: number;
 }
