--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './limits/initial-tokens.js';
 export * from './limits/memory-budget.js';
 export * from './limits/token-bucket.js';
+export * from './limits/urgency-reserve.js';
 export * from './membership/choose-relay.js';
 export * from './membership/membership.js';
 export * from './pooling/permit-tracker.js';
--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -9,6 +9,7 @@
   OrganisationLimiter,
 } from './organisation-limiter.js';
 import type { LoanId } from './token-bucket.js';
+import { UrgencyReserve } from './urgency-reserve.js';
 
 /** Identifies a waiting request. */
 export type AdmissionTicket = number;
@@ -26,6 +27,16 @@
   readonly loanRequestTimeoutMs: Milliseconds;
   /** Time for which no loan request is sent to a lender that had nothing to lend. */
   readonly emptyLenderDelayMs: Milliseconds;
+  /**
+   * Time for which no loan request is sent to a lender that did not answer the last one;
+   * `emptyLenderDelayMs` if left out.
+   */
+  readonly silentLenderDelayMs?: Milliseconds;
+  /**
+   * Time after which an unanswered loan request no longer keeps others from being sent;
+   * `loanRequestTimeoutMs` if left out.
+   */
+  readonly lateResponseMs?: Milliseconds;
   /** Whether a request that cannot get a token before its deadline is refused at once. */
   readonly refusesUnservable?: boolean;
 }
@@ -36,8 +47,21 @@
   /** Matches the lender's response to this request. */
   readonly requestId: number;
   readonly tokens: number;
+  /** Priority of the requests that need the tokens; 0 is the most urgent. */
+  readonly priority: number;
 }
 
+/** How urgent a request is, and how long it may wait for a token. */
+export interface RequestUrgency {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Maximum wait for a token; that of the rules applies if it is shorter. */
+  readonly maxWaitMs: number;
+}
+
+/** Urgency of requests of which nothing is known; all of them are alike. */
+const DEFAULT_URGENCY: RequestUrgency = { priority: 0, maxWaitMs: Infinity };
+
 /** A refused request. */
 export interface AdmissionRefusal {
   readonly ticket: AdmissionTicket;
@@ -67,6 +91,7 @@
 
 interface WaitingRequest {
   readonly ticket: AdmissionTicket;
+  readonly priority: number;
   readonly deadline: Milliseconds;
 }
 
@@ -79,6 +104,8 @@
 interface LenderState {
   readonly spare: number;
   readonly updatedAt: Milliseconds;
+  /** Whether the last loan request was not answered. */
+  readonly isSilent: boolean;
 }
 
 /**
@@ -88,6 +115,9 @@
 export class AdmissionQueue {
   private readonly limiter: OrganisationLimiter;
 
+  private readonly reserve = new UrgencyReserve();
+
+  /** The most urgent first, and those of one priority in the order of their arrival. */
   private waiting: WaitingRequest[] = [];
 
   private readonly pendingLoanRequests = new Map<number, PendingLoanRequest>();
@@ -137,18 +167,24 @@
   }
 
   /**
-   * Admits a request at once if a token is available and no other request waits; queues it
+   * Admits a request at once if a token is available and no request that is as urgent waits; queues it
    * otherwise.
    *
    * @param now - current time
+   * @param urgency - how urgent the request is, and how long it may wait
    * @returns undefined if the request may run at once, or the ticket under which it waits
    */
-  addRequest(now: Milliseconds): AdmissionTicket | undefined {
+  addRequest(now: Milliseconds, urgency = DEFAULT_URGENCY): AdmissionTicket | undefined {
+    const { priority } = urgency;
     this.limiter.recordDemand(now);
-    if (this.waiting.length === 0 && this.limiter.admit(now)) return undefined;
+    this.reserve.recordDemand(priority, 1, now);
+    const behind = this.waiting.findIndex((other) => other.priority > priority);
+    const index = behind < 0 ? this.waiting.length : behind;
+    if (index === 0 && this.admitOne(priority, now)) return undefined;
     const ticket = this.nextTicket;
     this.nextTicket += 1;
-    this.waiting.push({ ticket, deadline: toMilliseconds(now + this.rules.maxWaitMs) });
+    const maxWaitMs = Math.min(this.rules.maxWaitMs, urgency.maxWaitMs);
+    this.waiting.splice(index, 0, { ticket, priority, deadline: toMilliseconds(now + maxWaitMs) });
     return ticket;
   }
 
@@ -186,7 +222,7 @@
     this.pendingLoanRequests.delete(requestId);
     // A lender that granted nothing gets no request for a while, even if it holds a fraction.
     const spare = offer.loan === undefined ? 0 : offer.spare;
-    this.lenderStates.set(request.lender, { spare, updatedAt: now });
+    this.lenderStates.set(request.lender, { spare, updatedAt: now, isSilent: false });
     if (offer.loan !== undefined) {
       this.limiter.addLoan(request.lender, offer.loan, request.sentAt, now);
     }
@@ -197,10 +233,12 @@
    *
    * @param tokens - tokens requested
    * @param now - current time
+   * @param priority - priority of the requests that need them; 0 is the most urgent
    * @returns the response
    */
-  handleLoanRequest(tokens: number, now: Milliseconds): LoanOffer {
-    return this.limiter.lend(tokens, now);
+  handleLoanRequest(tokens: number, now: Milliseconds, priority = 0): LoanOffer {
+    this.reserve.recordDemand(priority, tokens, now);
+    return this.limiter.lend(tokens, now, this.computeReserve(priority, now));
   }
 
   /**
@@ -245,18 +283,27 @@
     const admitted: AdmissionTicket[] = [];
     for (;;) {
       const first = this.waiting[0];
-      if (first === undefined || !this.limiter.admit(now)) return admitted;
+      if (first === undefined || !this.admitOne(first.priority, now)) return admitted;
       this.waiting.shift();
       admitted.push(first.ticket);
     }
   }
 
-  /** Refuses the requests beyond the maximum queue length and those past their deadlines. */
+  private admitOne(priority: number, now: Milliseconds): boolean {
+    return this.limiter.admit(now, this.computeReserve(priority, now));
+  }
+
+  private computeReserve(priority: number, now: Milliseconds): number {
+    return this.reserve.computeReserve(priority, this.limiter.share, now);
+  }
+
+  /** Refuses the least urgent beyond the maximum queue length, and requests past their deadlines. */
   private refuseExpired(now: Milliseconds): AdmissionRefusal[] {
     const refused: WaitingRequest[] = this.waiting.splice(this.rules.maxWaitingRequests);
-    while (this.waiting[0] !== undefined && this.waiting[0].deadline <= now) {
-      refused.push(...this.waiting.splice(0, 1));
-    }
+    this.waiting = this.waiting.filter((request) => {
+      if (request.deadline <= now) refused.push(request);
+      return request.deadline > now;
+    });
     const retryAfterMs = refused.length === 0 ? 0 : this.limiter.computeRetryAfterMs(now);
     return refused.map(({ ticket }) => ({ ticket, retryAfterMs }));
   }
@@ -268,7 +315,7 @@
    */
   private refuseUnservable(now: Milliseconds): AdmissionRefusal[] {
     if (this.rules.refusesUnservable !== true) return [];
-    if (this.waiting.length === 0 || this.pendingLoanRequests.size > 0) return [];
+    if (this.waiting.length === 0 || this.hasRecentLoanRequest(now)) return [];
     if (this.chooseLenders(now).length > 0) return [];
     const retryAfterMs = this.limiter.computeRetryAfterMs(now);
     const refused: AdmissionRefusal[] = [];
@@ -281,15 +328,18 @@
   }
 
   private createLoanRequests(now: Milliseconds): LoanRequest[] {
-    if (this.pendingLoanRequests.size > 0) return [];
-    const shortfall = this.limiter.computeShortfall(this.waiting.length, now);
+    if (this.hasRecentLoanRequest(now)) return [];
+    const priority = this.waiting[0]?.priority ?? 0;
+    // Less urgent requests get a loan request of their own, since the lender treats them differently.
+    const waiting = this.waiting.filter((request) => request.priority === priority).length;
+    const shortfall = this.limiter.computeShortfall(waiting, now);
     if (shortfall <= 0) return [];
-    const { lenders, tokens } = this.divideShortfall(shortfall, this.chooseLenders(now));
+    const { lenders, tokens } = this.divideShortfall(shortfall, waiting, this.chooseLenders(now));
     return lenders.map((lender) => {
       const requestId = this.nextRequestId;
       this.nextRequestId += 1;
       this.pendingLoanRequests.set(requestId, { lender, sentAt: now });
-      return { lender, requestId, tokens };
+      return { lender, requestId, tokens, priority };
     });
   }
 
@@ -299,6 +349,7 @@
    */
   private divideShortfall(
     shortfall: number,
+    waiting: number,
     candidates: readonly InstanceId[],
   ): { lenders: readonly InstanceId[]; tokens: number } {
     const unit = this.rules.loans.loanUnitTokens ?? 0;
@@ -310,7 +361,7 @@
     }
     // Rounds down the expected demand: at an instance that gets few of an organisation's requests, a
     // token borrowed in advance would expire unused.
-    const units = Math.max(Math.ceil(this.waiting.length / unit), Math.floor(shortfall / unit));
+    const units = Math.max(Math.ceil(waiting / unit), Math.floor(shortfall / unit));
     const lenders = candidates.slice(0, units);
     return { lenders, tokens: Math.ceil(units / Math.max(1, lenders.length)) * unit };
   }
@@ -320,10 +371,14 @@
    * lenders that recently had none.
    */
   private chooseLenders(now: Milliseconds): InstanceId[] {
-    const { emptyLenderDelayMs, fanout } = this.rules;
+    const { emptyLenderDelayMs, silentLenderDelayMs = emptyLenderDelayMs, fanout } = this.rules;
+    const pending = new Set([...this.pendingLoanRequests.values()].map(({ lender }) => lender));
     const candidates = this.lenders.filter((id) => {
+      if (pending.has(id)) return false;
       const state = this.lenderStates.get(id);
-      return state === undefined || state.spare > 0 || now - state.updatedAt >= emptyLenderDelayMs;
+      if (state === undefined || state.spare > 0) return true;
+      const delayMs = state.isSilent ? silentLenderDelayMs : emptyLenderDelayMs;
+      return now - state.updatedAt >= delayMs;
     });
     candidates.sort((left, right) => {
       const byNearness = Number(this.nearHolders.has(right)) - Number(this.nearHolders.has(left));
@@ -340,7 +395,13 @@
     for (const [requestId, { lender, sentAt }] of this.pendingLoanRequests) {
       if (now - sentAt < this.rules.loanRequestTimeoutMs) continue;
       this.pendingLoanRequests.delete(requestId);
-      this.lenderStates.set(lender, { spare: 0, updatedAt: now });
+      this.lenderStates.set(lender, { spare: 0, updatedAt: now, isSilent: true });
     }
   }
+
+  private hasRecentLoanRequest(now: Milliseconds): boolean {
+    const { loanRequestTimeoutMs, lateResponseMs = loanRequestTimeoutMs } = this.rules;
+    const pending = [...this.pendingLoanRequests.values()];
+    return pending.some(({ sentAt }) => now - sentAt < lateResponseMs);
+  }
 }
--- a/packages/core/src/limits/organisation-limiter.ts
+++ b/packages/core/src/limits/organisation-limiter.ts
@@ -83,11 +83,12 @@
    * Admits one request if a whole token is available; spends borrowed tokens first.
    *
    * @param now - current time
+   * @param reserve - tokens of the instance's own share that the request leaves for others
    * @returns whether the request may run
    */
-  admit(now: Milliseconds): boolean {
+  admit(now: Milliseconds, reserve = 0): boolean {
     const borrowed = this.borrowedTokens.countAvailable(now);
-    const total = borrowed + this.bucket.countAvailable(now);
+    const total = borrowed + Math.max(0, this.bucket.countAvailable(now) - reserve);
     // Fractions that add up to one token may fall short of it by a rounding error.
     if (total < 1 - 1e-9) return false;
     const spentBorrowed = this.borrowedTokens.takeUpTo(1, now);
@@ -122,11 +123,12 @@
    *
    * @param count - tokens requested
    * @param now - current time
+   * @param urgentReserve - tokens kept for requests that are more urgent than the borrower's
    * @returns the loan, if any, and the tokens that could still be lent
    */
-  lend(count: number, now: Milliseconds): LoanOffer {
+  lend(count: number, now: Milliseconds, urgentReserve = 0): LoanOffer {
     this.decayDemand(now);
-    const reserve = this.demandPerMs * this.timings.demandHorizonMs;
+    const reserve = Math.max(this.demandPerMs * this.timings.demandHorizonMs, urgentReserve);
     const { loanTtlMs, loanUnitTokens } = this.timings;
     const loan = this.bucket.lend(count, reserve, loanTtlMs, now, loanUnitTokens);
     return { loan, spare: Math.max(0, this.bucket.countAvailable(now) - reserve) };
@@ -164,6 +166,11 @@
     this.borrowedTokens.returnAll(now);
   }
 
+  /** @returns refill rate and burst of this instance's share */
+  get share(): { readonly refillRatePerMs: number; readonly burst: number } {
+    return { refillRatePerMs: this.bucket.refillRatePerMs, burst: this.bucket.maxTokens };
+  }
+
   /** @returns settlements to send to the lenders; each is returned once */
   takeSettlements(): Settlement[] {
     return this.borrowedTokens.takeSettlements();
--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -170,6 +170,11 @@
     return this.ratePerMs;
   }
 
+  /** @returns maximum number of tokens, available and on loan together */
+  get maxTokens(): number {
+    return this.burst;
+  }
+
   private get capacity(): number {
     return this.burst - this.lent;
   }
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -14,6 +14,7 @@
   ProxyError,
   rateExceeded,
   type RateTolerance,
+  type RequestUrgency,
   computeInitialTokens,
   toBrand,
   toMilliseconds,
@@ -127,14 +128,15 @@
    * Waits until a request may run.
    *
    * @param organisation - organisation that the request belongs to
+   * @param urgency - how urgent the request is; all are alike if left out
    * @throws ProxyError if no token becomes available in time
    */
-  async admit(organisation: OrganisationId): Promise<void> {
+  async admit(organisation: OrganisationId, urgency?: RequestUrgency): Promise<void> {
     const rate = this.settings?.organisations.get(organisation)?.requestsPerSecond;
     // Fractions of an unlimited rate are not finite numbers (0 × Infinity is NaN).
     if (rate === Infinity) return;
     const entry = this.getOrCreateEntry(organisation);
-    const ticket = entry.queue.addRequest(this.clock.now());
+    const ticket = entry.queue.addRequest(this.clock.now(), urgency);
     if (ticket === undefined) {
       this.scheduleStep(organisation);
       return;
@@ -219,8 +221,8 @@
     entry: OrganisationEntry,
     request: LoanRequest,
   ): Promise<void> {
-    const { lender, requestId, tokens } = request;
-    const body = { kind: 'loan.ask' as const, organisation, tokens };
+    const { lender, requestId, tokens, priority } = request;
+    const body = { kind: 'loan.ask' as const, organisation, tokens, priority };
     const response = await this.hub.request(lender, body, this.rules.loanRequestTimeoutMs);
     if (response?.kind !== 'loan.offer') return;
     entry.queue.handleOffer(requestId, parseOffer(response), this.clock.now());
@@ -229,7 +231,8 @@
 
   private handleLoanRequest(body: PeerBodyOf<'loan.ask'>): PeerBodyOf<'loan.offer'> {
     const { queue } = this.getOrCreateEntry(toBrand<OrganisationId>(body.organisation));
-    return { kind: 'loan.offer', ...queue.handleLoanRequest(body.tokens, this.clock.now()) };
+    const offer = queue.handleLoanRequest(body.tokens, this.clock.now(), body.priority);
+    return { kind: 'loan.offer', ...offer };
   }
 
   private handleSettlement(body: PeerBodyOf<'loan.settle'>): undefined {
--- a/packages/daemon/src/peers/peer-messages.ts
+++ b/packages/daemon/src/peers/peer-messages.ts
@@ -136,7 +136,13 @@
     }),
   }),
   /** Requests a loan of tokens of an organisation's rate. */
-  z.object({ kind: z.literal('loan.ask'), organisation: z.string(), tokens: z.number() }),
+  z.object({
+    kind: z.literal('loan.ask'),
+    organisation: z.string(),
+    tokens: z.number(),
+    /** Priority of the requests that need the tokens, 0 is the most urgent; absent if it is unknown. */
+    priority: z.number().optional(),
+  }),
   /** Response to `loan.ask`; without a loan if the lender grants none. */
   z.object({
     kind: z.literal('loan.offer'),
--- a/packages/gateway/src/sessions/admission-rules.ts
+++ b/packages/gateway/src/sessions/admission-rules.ts
@@ -12,5 +12,8 @@
   maxWaitMs: toMilliseconds(300),
   maxWaitingRequests: 8,
   loanRequestTimeoutMs: toMilliseconds(250),
+  // A lender behind a partition is silent for seconds, while the others have tokens.
+  silentLenderDelayMs: toMilliseconds(2000),
+  lateResponseMs: toMilliseconds(150),
   refusesUnservable: true,
 };
