Keep the connections to members that were used last

Cause: a pool whose idle connections were at their limit closed each released connection and kept those that had become idle first, for up to 30 s. Change: a released connection replaces the one that has been idle for longest.

--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -158,13 +158,32 @@
       this.grant(connection, next);
       return;
     }
-    if (!this.mayBecomeIdle(connection)) connection.close();
-    else this.idle.push(connection);
+    this.keepIdle(connection);
     if (this.queue.length > 0) this.serveQueue();
   }
 
-  private mayBecomeIdle(connection: MemberConnection): boolean {
-    if (this.idle.length >= this.limits.maxIdleConnections) return false;
+  /**
+   * Keeps a released connection in place of the one that has been idle for longest.
+   *
+   * Load pattern: many more organisations than idle connections, most of which send little. If the
+   * connections that became idle first were kept, those of rare organisations would stay for the
+   * idle timeout, and the active ones would open a connection for almost every statement.
+   */
+  private keepIdle(connection: MemberConnection): void {
+    const { maxIdleConnections } = this.limits;
+    if (maxIdleConnections === 0 || !this.mayKeepValues(connection)) {
+      connection.close();
+      return;
+    }
+    // Requests that wait are served afterwards, when the released connection counts again.
+    const wasServing = this.isServing;
+    this.isServing = true;
+    while (this.idle.length >= maxIdleConnections) this.closeOldestIdle();
+    this.isServing = wasServing;
+    this.idle.push(connection);
+  }
+
+  private mayKeepValues(connection: MemberConnection): boolean {
     let bytes = connection.valueBytes;
     if (bytes === 0) return true;
     for (const other of this.idle) bytes += other.valueBytes;
--- a/packages/gateway/test/units/member-pool.test.ts
+++ b/packages/gateway/test/units/member-pool.test.ts
@@ -120,6 +120,38 @@
       expect(connections.map(({ isClosed }) => isClosed)).toEqual([false, true, true, false]);
     });
 
+    // Guards against a pool full of connections of rare organisations, in which active ones open a
+    // connection for each statement.
+    it('keeps the connections that were used last', async () => {
+      const limits = { maxConnections: 6, maxIdleConnections: 4, maxWaiting: 64 };
+      pool = new MemberPool(ENTRY, connector, limits, LISTENER, clock);
+      for (const organisation of ['rare-1', 'rare-2', 'rare-3', 'rare-4']) {
+        pool.release((await acquireConnection(organisation)).connection);
+      }
+      const { connection } = await acquireConnection('active');
+      pool.release(connection);
+      expect(connection.isClosed).toBe(false);
+      expect(pool.hasIdle(toBrand<OrganisationId>('active'))).toBe(true);
+      expect(pool.hasIdle(toBrand<OrganisationId>('rare-1'))).toBe(false);
+      expect(pool.size).toBe(4);
+    });
+
+    it('keeps no more connections than its limits while others wait', async () => {
+      const limits = { maxConnections: 3, maxIdleConnections: 1, maxWaiting: 64 };
+      const small = new MemberPool(ENTRY, connector, limits, LISTENER, clock);
+      for (const organisation of ['one', 'two', 'three', 'four', 'five']) {
+        void small.acquire(createRequest(organisation)).then((result) => {
+          if (result.kind === 'connection') small.release(result.connection);
+        });
+      }
+      for (let accepted = 0; accepted < connector.channels.length; accepted += 1) {
+        connector.channels[accepted]?.accept();
+        await Promise.resolve();
+        expect(small.size).toBeLessThanOrEqual(3);
+      }
+      small.close();
+    });
+
     it('drops a connection that is released inside a transaction', async () => {
       const { connection } = await acquireConnection('a');
       connection.transactionState = 'open';
