Ask lenders for urgent requests that refused less urgent ones

Cause: a lender that keeps its tokens for urgent requests counted as empty for all of them. Change: what is known of lenders is in a class of its own and holds the priority that was refused. Result: the new test fails without the condition on the priority; limits and fleet tests pass.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './limits/organisation-limiter.js';
 export * from './limits/slot-claims.js';
 export * from './limits/initial-tokens.js';
+export * from './limits/lender-tracker.js';
 export * from './limits/memory-budget.js';
 export * from './limits/token-bucket.js';
 export * from './limits/urgency-reserve.js';
--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -8,6 +8,7 @@
   type LoanTimings,
   OrganisationLimiter,
 } from './organisation-limiter.js';
+import { LenderTracker, type LenderRules } from './lender-tracker.js';
 import type { LoanId } from './token-bucket.js';
 import { UrgencyReserve } from './urgency-reserve.js';
 
@@ -15,28 +16,12 @@
 export type AdmissionTicket = number;
 
 /** Limits and timeouts for requests that find no token. */
-export interface AdmissionRules {
+export interface AdmissionRules extends LenderRules {
   readonly loans: LoanTimings;
-  /** Maximum number of lenders that receive a loan request at the same time. */
-  readonly fanout: number;
   /** Maximum time that a request waits for a token. */
   readonly maxWaitMs: Milliseconds;
   /** Maximum number of waiting requests; those beyond it are refused without waiting. */
   readonly maxWaitingRequests: number;
-  /** Time after which an unanswered loan request is abandoned. */
-  readonly loanRequestTimeoutMs: Milliseconds;
-  /** Time for which no loan request is sent to a lender that had nothing to lend. */
-  readonly emptyLenderDelayMs: Milliseconds;
-  /**
-   * Time for which no loan request is sent to a lender that did not answer the last one;
-   * `emptyLenderDelayMs` if left out.
-   */
-  readonly silentLenderDelayMs?: Milliseconds;
-  /**
-   * Time after which an unanswered loan request no longer keeps others from being sent;
-   * `loanRequestTimeoutMs` if left out.
-   */
-  readonly lateResponseMs?: Milliseconds;
   /** Whether a request that cannot get a token before its deadline is refused at once. */
   readonly refusesUnservable?: boolean;
 }
@@ -95,19 +80,6 @@
   readonly deadline: Milliseconds;
 }
 
-interface PendingLoanRequest {
-  readonly lender: InstanceId;
-  readonly sentAt: Milliseconds;
-}
-
-/** What a lender last reported; 0 tokens after a timeout or a refusal. */
-interface LenderState {
-  readonly spare: number;
-  readonly updatedAt: Milliseconds;
-  /** Whether the last loan request was not answered. */
-  readonly isSilent: boolean;
-}
-
 /**
  * Admits, queues or refuses the requests of one organisation at one instance, and borrows and lends
  * tokens. Does no input or output: the caller passes messages and the current time.
@@ -120,21 +92,12 @@
   /** The most urgent first, and those of one priority in the order of their arrival. */
   private waiting: WaitingRequest[] = [];
 
-  private readonly pendingLoanRequests = new Map<number, PendingLoanRequest>();
-
-  private readonly lenderStates = new Map<InstanceId, LenderState>();
-
-  /** Other instances that hold shares; their order differs from instance to instance. */
-  private lenders: readonly InstanceId[] = [];
-
-  private nearHolders: ReadonlySet<InstanceId> = new Set();
+  private readonly lenders: LenderTracker;
 
   private currentHolders: ReadonlySet<InstanceId> | undefined;
 
   private nextTicket = 1;
 
-  private nextRequestId = 1;
-
   /**
    * @param self - this instance
    * @param organisation - organisation that the requests belong to
@@ -148,6 +111,7 @@
     unusedSince?: Milliseconds,
   ) {
     this.limiter = new OrganisationLimiter(rules.loans, unusedSince);
+    this.lenders = new LenderTracker(rules);
   }
 
   /**
@@ -161,9 +125,9 @@
     this.limiter.setShare(ratePerSecond, burst, now, initialTokens);
     if (holders === this.currentHolders) return;
     this.currentHolders = holders;
-    this.nearHolders = near ?? new Set();
     const others = [...holders].filter((id) => id !== this.self);
-    this.lenders = chooseHolders(`lender/${this.organisation}/${this.self}`, others, others.length);
+    const order = chooseHolders(`lender/${this.organisation}/${this.self}`, others, others.length);
+    this.lenders.setLenders(order, near ?? new Set());
   }
 
   /**
@@ -195,7 +159,7 @@
    * @returns actions to carry out
    */
   step(now: Milliseconds): AdmissionActions {
-    this.expireLoanRequests(now);
+    this.lenders.expireRequests(now);
     const admitted = this.admitWaiting(now);
     const expired = this.refuseExpired(now);
     const loanRequests = this.createLoanRequests(now);
@@ -216,13 +180,8 @@
    * @param now - current time
    */
   handleOffer(requestId: number, offer: LoanOffer, now: Milliseconds): void {
-    const request = this.pendingLoanRequests.get(requestId);
-    // A response after the timeout is ignored; its lender counts the loan until it expires.
+    const request = this.lenders.handleOffer(requestId, offer, now);
     if (request === undefined) return;
-    this.pendingLoanRequests.delete(requestId);
-    // A lender that granted nothing gets no request for a while, even if it holds a fraction.
-    const spare = offer.loan === undefined ? 0 : offer.spare;
-    this.lenderStates.set(request.lender, { spare, updatedAt: now, isSilent: false });
     if (offer.loan !== undefined) {
       this.limiter.addLoan(request.lender, offer.loan, request.sentAt, now);
     }
@@ -263,7 +222,7 @@
 
   /** @returns whether {@link step} must be called again even if no further request arrives */
   get hasPendingWork(): boolean {
-    return this.waiting.length > 0 || this.pendingLoanRequests.size > 0;
+    return this.waiting.length > 0 || this.lenders.hasPendingRequests;
   }
 
   /** @returns number of waiting requests */
@@ -315,8 +274,9 @@
    */
   private refuseUnservable(now: Milliseconds): AdmissionRefusal[] {
     if (this.rules.refusesUnservable !== true) return [];
-    if (this.waiting.length === 0 || this.hasRecentLoanRequest(now)) return [];
-    if (this.chooseLenders(now).length > 0) return [];
+    const [first] = this.waiting;
+    if (first === undefined || this.lenders.hasRecentRequest(now)) return [];
+    if (this.lenders.chooseLenders(first.priority, now).length > 0) return [];
     const retryAfterMs = this.limiter.computeRetryAfterMs(now);
     const refused: AdmissionRefusal[] = [];
     this.waiting = this.waiting.filter(({ ticket, deadline }, index) => {
@@ -328,17 +288,16 @@
   }
 
   private createLoanRequests(now: Milliseconds): LoanRequest[] {
-    if (this.hasRecentLoanRequest(now)) return [];
+    if (this.lenders.hasRecentRequest(now)) return [];
     const priority = this.waiting[0]?.priority ?? 0;
     // Less urgent requests get a loan request of their own, since the lender treats them differently.
     const waiting = this.waiting.filter((request) => request.priority === priority).length;
     const shortfall = this.limiter.computeShortfall(waiting, now);
     if (shortfall <= 0) return [];
-    const { lenders, tokens } = this.divideShortfall(shortfall, waiting, this.chooseLenders(now));
+    const candidates = this.lenders.chooseLenders(priority, now);
+    const { lenders, tokens } = this.divideShortfall(shortfall, waiting, candidates);
     return lenders.map((lender) => {
-      const requestId = this.nextRequestId;
-      this.nextRequestId += 1;
-      this.pendingLoanRequests.set(requestId, { lender, sentAt: now });
+      const requestId = this.lenders.recordRequest(lender, priority, now);
       return { lender, requestId, tokens, priority };
     });
   }
@@ -365,43 +324,4 @@
     const lenders = candidates.slice(0, units);
     return { lenders, tokens: Math.ceil(units / Math.max(1, lenders.length)) * unit };
   }
-
-  /**
-   * Chooses near lenders first, then those that last reported the most tokens to lend; leaves out
-   * lenders that recently had none.
-   */
-  private chooseLenders(now: Milliseconds): InstanceId[] {
-    const { emptyLenderDelayMs, silentLenderDelayMs = emptyLenderDelayMs, fanout } = this.rules;
-    const pending = new Set([...this.pendingLoanRequests.values()].map(({ lender }) => lender));
-    const candidates = this.lenders.filter((id) => {
-      if (pending.has(id)) return false;
-      const state = this.lenderStates.get(id);
-      if (state === undefined || state.spare > 0) return true;
-      const delayMs = state.isSilent ? silentLenderDelayMs : emptyLenderDelayMs;
-      return now - state.updatedAt >= delayMs;
-    });
-    candidates.sort((left, right) => {
-      const byNearness = Number(this.nearHolders.has(right)) - Number(this.nearHolders.has(left));
-      return byNearness || this.getLastSpare(right) - this.getLastSpare(left);
-    });
-    return candidates.slice(0, fanout);
-  }
-
-  private getLastSpare(lender: InstanceId): number {
-    return this.lenderStates.get(lender)?.spare ?? Number.MAX_VALUE;
-  }
-
-  private expireLoanRequests(now: Milliseconds): void {
-    for (const [requestId, { lender, sentAt }] of this.pendingLoanRequests) {
-      if (now - sentAt < this.rules.loanRequestTimeoutMs) continue;
-      this.pendingLoanRequests.delete(requestId);
-      this.lenderStates.set(lender, { spare: 0, updatedAt: now, isSilent: true });
-    }
-  }
-
-  private hasRecentLoanRequest(now: Milliseconds): boolean {
-    const { loanRequestTimeoutMs, lateResponseMs = loanRequestTimeoutMs } = this.rules;
-    const pending = [...this.pendingLoanRequests.values()];
-    return pending.some(({ sentAt }) => now - sentAt < lateResponseMs);
-  }
 }
--- a/packages/core/test/units/urgent-admission.test.ts
+++ b/packages/core/test/units/urgent-admission.test.ts
@@ -102,6 +102,19 @@
     expect(queue.step(at(3000)).loanRequests).toHaveLength(1);
   });
 
+  // Guards against urgent requests that are refused because a lender had nothing for less urgent ones.
+  it('asks a lender for urgent requests that has refused less urgent ones', () => {
+    const [only] = LENDERS;
+    const queue = createQueue(0, 0, only === undefined ? [SELF] : [SELF, only]);
+    queue.addRequest(at(0), { priority: 2, maxWaitMs: 300 });
+    const [first] = queue.step(at(0)).loanRequests;
+    queue.handleOffer(first?.requestId ?? 0, { loan: undefined, spare: 0 }, at(20));
+    queue.addRequest(at(30), { priority: 2, maxWaitMs: 300 });
+    expect(queue.step(at(30)).loanRequests).toEqual([]);
+    queue.addRequest(at(40), { priority: 0, maxWaitMs: 300 });
+    expect(queue.step(at(40)).loanRequests).toMatchObject([{ lender: only, priority: 0 }]);
+  });
+
   it('asks another lender when the first is late', () => {
     const queue = createQueue(0, 0, [SELF, ...LENDERS]);
     queue.addRequest(at(0), { priority: 1, maxWaitMs: 300 });
