Choose members for reads by how long their statements take

Change: hosts measure the time of statements by priority and tell it with each reply; the cost of a member is its queue by its slots, its speed beside the median of its group, its distance and its failures, all in milliseconds.

--- a/packages/core/src/hosting/member-load.ts
+++ b/packages/core/src/hosting/member-load.ts
@@ -1,9 +1,12 @@
 import type { Milliseconds } from '../types/ids.js';
+import { StatementTimes } from './statement-times.js';
 
 /** What a host reports of its member along with each reply. */
 export interface MemberLoad {
   /** Statements that wait for or run at the member. */
   readonly pending: number;
+  /** Mean time of statements of the reply's priority, in milliseconds. */
+  readonly statementMs?: number | undefined;
 }
 
 /** Time for which a report describes the member; a few statements run in it. */
@@ -22,6 +25,9 @@
 
   private reportedAt: Milliseconds | undefined;
 
+  /** Statement times at the member, by priority. */
+  readonly times = new StatementTimes();
+
   /** Records that this instance sent a statement to the member. */
   recordStart(): void {
     this.outstanding += 1;
@@ -32,10 +38,17 @@
     this.outstanding -= 1;
   }
 
-  /** Records the host's report. */
-  recordReport(load: MemberLoad, now: Milliseconds): void {
+  /**
+   * Records the host's report.
+   *
+   * @param load - the report
+   * @param priority - priority of the statement that it came with
+   * @param now - current time
+   */
+  recordReport(load: MemberLoad, priority: number, now: Milliseconds): void {
     this.reported = load;
     this.reportedAt = now;
+    if (load.statementMs !== undefined) this.times.setMean(priority, load.statementMs, now);
   }
 
   /** @returns estimated number of statements that wait for or run at the member */
--- a/packages/core/src/serving/choose-read-member.ts
+++ b/packages/core/src/serving/choose-read-member.ts
@@ -9,8 +9,12 @@
   readonly isDraining: boolean;
   /** 0 in the instance's own failure domain, 1 in its region, 2 elsewhere. */
   readonly distance: number;
-  /** Statements of this instance that are queued for or running at the member. */
+  /** Statements that are queued for or running at the member. */
   readonly pending: number;
+  /** Statements that the member runs concurrently; 2 if left out. */
+  readonly slots?: number;
+  /** Mean time of statements of the read's priority at the member; undefined if it is not known. */
+  readonly statementMs?: number | undefined;
   /** Time until which the member is avoided after a failure. */
   readonly avoidUntil: Milliseconds;
   /** Latest log position that the member reported; undefined if none. */
@@ -41,24 +45,27 @@
   readonly needsPrimary?: boolean;
 }
 
+/** Time of a statement at members of which none has reported one, in milliseconds. */
+const DEFAULT_STATEMENT_MS = 9;
+const DEFAULT_SLOTS = 2;
 /**
- * Cost of one step of distance, in pending statements. A pending statement delays a read by about
- * half a read's mean work (9 ms), a round trip between regions by 24 ms.
+ * Cost of one step of distance, in milliseconds. A round trip between regions, two steps, takes 24 ms;
+ * about half of it counts, since links between regions are also the way of a member's log.
  */
-const DISTANCE_WEIGHT = 1.5;
+const DISTANCE_COST_MS = 6.75;
 /** Makes a draining member the last choice. */
-const DRAINING_PENALTY = 1000;
+const DRAINING_PENALTY_MS = 4500;
 /** A member that failed recently, or probably lags, is used only if no other member is left. */
-const AVOIDED_PENALTY = 100;
+const AVOIDED_PENALTY_MS = 450;
 /** A member already tried for this read is used only after every other one. */
-const TRIED_PENALTY = 300;
+const TRIED_PENALTY_MS = 1350;
 /**
- * Cost of a member that fails every statement, in pending statements. At a tenth of failures the
- * cost equals that of a round trip between regions.
+ * Cost of a member that fails every statement, in milliseconds. At a tenth of failures the cost equals
+ * that of two steps of distance.
  */
-const FAILURE_RATIO_WEIGHT = 30;
+const FAILURE_RATIO_COST_MS = 135;
 /** Prefers replicas for reads, to keep the primary free for the work that only it can do. */
-const PRIMARY_PENALTY = 0.5;
+const PRIMARY_COST_MS = 2.25;
 
 /**
  * Resolves the position that a replica's log must have reached to serve a read.
@@ -78,7 +85,8 @@
  * Chooses the member for a read: the nearest one with a short queue and a recent enough log.
  *
  * Under many reads that allow some staleness and few writes, replicas near the caller serve the
- * reads, and the primary's slots stay free for the statements that only it can run.
+ * reads, and the primary's slots stay free for the statements that only it can run. A member that takes
+ * several times as long as the others gets few reads although its queue is short.
  *
  * @param members - members that may be used
  * @param requirements - requirements of the read
@@ -91,11 +99,12 @@
   now: Milliseconds,
 ): ReadPlacement | undefined {
   const waitFor = resolveRequiredPosition(requirements);
+  const typicalMs = computeTypicalMs(members);
   let best: ReadPlacement | undefined;
   let bestCost = Infinity;
   for (const member of members) {
     if (!member.isPrimary && waitFor === undefined) continue;
-    const cost = estimateCost(member, requirements, waitFor, now);
+    const cost = estimateCostMs(member, typicalMs, requirements, waitFor, now);
     if (cost < bestCost) {
       bestCost = cost;
       best = { member: member.id, waitFor: member.isPrimary ? undefined : waitFor };
@@ -104,20 +113,30 @@
   return best;
 }
 
-/** Estimates the cost of a read at a member, in pending statements. */
-function estimateCost(
+/** Computes the statement time to assume at members of which none is known: the median of the others. */
+function computeTypicalMs(members: readonly ReadMemberState[]): number {
+  const known = members.flatMap(({ statementMs }) => statementMs ?? []);
+  known.sort((left, right) => left - right);
+  return known[Math.floor((known.length - 1) / 2)] ?? DEFAULT_STATEMENT_MS;
+}
+
+/** Estimates the cost of a read at a member in milliseconds: its queue, its speed and its distance. */
+function estimateCostMs(
   member: ReadMemberState,
+  typicalMs: number,
   requirements: ReadRequirements,
   waitFor: TermPosition | undefined,
   now: Milliseconds,
 ): number {
-  let cost = member.pending + member.distance * DISTANCE_WEIGHT;
-  cost += member.failureRatio * FAILURE_RATIO_WEIGHT;
-  if (member.isPrimary) cost += PRIMARY_PENALTY;
-  else if (isLikelyLagging(member, waitFor, now)) cost += AVOIDED_PENALTY;
-  if (member.isDraining) cost += DRAINING_PENALTY;
-  if (member.avoidUntil > now) cost += AVOIDED_PENALTY;
-  if (requirements.tried.has(member.id)) cost += TRIED_PENALTY;
+  const { slots = DEFAULT_SLOTS, statementMs = typicalMs } = member;
+  let cost = (member.pending / slots) * statementMs + Math.max(0, statementMs - typicalMs);
+  cost += member.distance * DISTANCE_COST_MS;
+  cost += member.failureRatio * FAILURE_RATIO_COST_MS;
+  if (member.isPrimary) cost += PRIMARY_COST_MS;
+  else if (isLikelyLagging(member, waitFor, now)) cost += AVOIDED_PENALTY_MS;
+  if (member.isDraining) cost += DRAINING_PENALTY_MS;
+  if (member.avoidUntil > now) cost += AVOIDED_PENALTY_MS;
+  if (requirements.tried.has(member.id)) cost += TRIED_PENALTY_MS;
   return cost;
 }
 
--- a/packages/core/test/units/hosting.test.ts
+++ b/packages/core/test/units/hosting.test.ts
@@ -144,7 +144,7 @@
 describe('MemberLoadTracker', () => {
   it('knows a queue that other instances have filled, for as long as the report describes it', () => {
     const tracker = new MemberLoadTracker();
-    tracker.recordReport({ pending: 12 }, toMilliseconds(0));
+    tracker.recordReport({ pending: 12 }, 1, toMilliseconds(0));
     expect(tracker.estimatePending(toMilliseconds(100))).toBe(12);
     expect(tracker.estimatePending(toMilliseconds(1000))).toBe(0);
     tracker.recordStart();
--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -119,6 +119,8 @@
     wasSent: z.boolean().optional(),
     /** Statements that wait for or run at the member. */
     pending: z.number().optional(),
+    /** Mean time of statements of the request's priority at the member, in milliseconds. */
+    statementMs: z.number().optional(),
   }),
   /** Announces that the sender is stopping and hosts no further statements. */
   z.object({ kind: z.literal('host.leaving') }),
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -112,13 +112,20 @@
     const acquired = await this.acquire({ ...request, timeoutMs }, check);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
+    const sentAt = this.clock.now();
     const result = await connection.runInSession(
       { values: request.values },
       request.statement,
       request.waitFor,
-      request.timeoutMs - (this.clock.now() - startedAt),
+      request.timeoutMs - (sentAt - startedAt),
     );
     pool.release(connection);
+    // A refusal or a lost reply tells nothing about how long statements take.
+    if (result.kind === 'answered' && result.reply.error === undefined) {
+      const now = this.clock.now();
+      const times = this.memberRegistry.findLoad(request.member)?.times;
+      times?.record(request.priority, now - sentAt, now);
+    }
     return result;
   }
 
--- a/packages/gateway/src/hosting/member-host-server.ts
+++ b/packages/gateway/src/hosting/member-host-server.ts
@@ -100,7 +100,9 @@
     const statement = decodeStatement(body);
     if (statement === undefined) return this.encode(UNDECODABLE_STATEMENT, request.member);
     const result = await this.access.run({ ...request, access: body.access, statement });
-    return this.encode(result, request.member);
+    const times = this.memberRegistry.findLoad(request.member)?.times;
+    const statementMs = times?.findMeanMs(request.priority, this.clock.now());
+    return { ...this.encode(result, request.member), statementMs };
   }
 
   private async begin(
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -50,7 +50,7 @@
       access: request.access,
       ...encodeStatement(request.statement),
     };
-    const result = await this.exchange(body, request.member, request.timeoutMs);
+    const result = await this.exchange(body, request, request.timeoutMs);
     if (result.kind === 'answered') this.memberRegistry.recordReply(request.member, result);
     return result;
   }
@@ -64,7 +64,7 @@
       ...encodeConnectionRequest(request),
       readOnly: request.readOnly,
     };
-    const result = await this.exchange(body, request.member, request.timeoutMs);
+    const result = await this.exchange(body, request, request.timeoutMs);
     if (result.kind === 'answered') this.memberRegistry.recordReply(request.member, result);
     if (result.kind === 'answered' && result.reply.error === undefined) {
       return { kind: 'open', transaction: this.createTransaction(transaction, request) };
@@ -74,7 +74,8 @@
     return result;
   }
 
-  private createTransaction(transaction: number, { member }: BeginRequest): MemberTransaction {
+  private createTransaction(transaction: number, request: BeginRequest): MemberTransaction {
+    const { member } = request;
     let isEnded = false;
     const run = async (
       statement: MemberStatement,
@@ -89,7 +90,7 @@
         values: [...values],
         timeoutMs,
       };
-      const result = toExchangeResult(await this.exchange(body, member, timeoutMs));
+      const result = toExchangeResult(await this.exchange(body, request, timeoutMs));
       if (result.kind === 'answered') this.memberRegistry.recordReply(member, result);
       return result;
     };
@@ -103,7 +104,7 @@
 
   private async exchange(
     body: PeerBody,
-    member: StatementRequest['member'],
+    { member, priority }: Pick<StatementRequest, 'member' | 'priority'>,
     timeoutMs: number,
   ): Promise<StatementResult> {
     const { hub, host, directory, memberRegistry, clock } = this;
@@ -133,7 +134,8 @@
     }
     this.metrics.forwardedRequests.inc({ outcome: 'answered' });
     if (exchange.body.kind === 'member.result' && exchange.body.pending !== undefined) {
-      load?.recordReport({ pending: exchange.body.pending }, now);
+      const { pending, statementMs } = exchange.body;
+      load?.recordReport({ pending, statementMs }, priority, now);
     }
     return decodeResult(exchange.body, sentAt);
   }
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -134,9 +134,10 @@
    * old to be certain of it.
    *
    * @param group - the group
+   * @param priority - priority of the read; 0 is the most urgent
    * @returns the members with the state that the choice between them needs
    */
-  listReaders(group: GroupId): ReadMemberState[] {
+  listReaders(group: GroupId, priority: number): ReadMemberState[] {
     const primary = this.primaryTracker.find(group);
     const now = this.clock.now();
     const readers: ReadMemberState[] = [];
@@ -145,7 +146,7 @@
       if (entry.group !== group) continue;
       const isPrimary = entry.id === primary;
       if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
-      const { id, isDraining } = entry;
+      const { id, isDraining, slots } = entry;
       const pending = state.slotGate.pending + state.load.estimatePending(now);
       const avoidUntil = toMilliseconds(Math.max(pool.avoidUntil, state.avoidUntil));
       const distance = this.computeDistance(entry.failureDomain);
@@ -155,6 +156,8 @@
         isDraining,
         distance,
         pending,
+        slots,
+        statementMs: state.load.times.findMeanMs(priority, now),
         avoidUntil,
         reportedPosition,
         laggingUntil,
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -118,7 +118,7 @@
       tried,
     };
     const placement = chooseReadMember(
-      memberRegistry.listReaders(route.group),
+      memberRegistry.listReaders(route.group, route.priority),
       requirements,
       clock.now(),
     );
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -209,7 +209,7 @@
         tried,
       };
       const placement = chooseReadMember(
-        memberRegistry.listReaders(route.group),
+        memberRegistry.listReaders(route.group, route.priority),
         requirements,
         clock.now(),
       );
