Send nothing new to the members of an evacuated failure domain

Cause: operators can request the evacuation of a failure domain, but instances went on to use its members. The entry instance leaves out the members and refuses at once what only an evacuated primary could run; the host checks again before it sends. A subscriber that does not name a key counts as one that knows it to be absent. Log lines, gauge and counter.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,7 @@
 export * from './serving/choose-read-member.js';
 export * from './serving/confirmation-tracker.js';
 export * from './serving/connection-budget.js';
+export * from './serving/evacuation-window.js';
 export * from './serving/fleet-settings.js';
 export * from './serving/term-position.js';
 export * from './serving/failure-ratio-tracker.js';
--- a/packages/gateway/src/fleet/fleet-view.ts
+++ b/packages/gateway/src/fleet/fleet-view.ts
@@ -1,4 +1,5 @@
 import {
+  type Clock,
   type ConfirmationTracker,
   type DomainInstances,
   type FleetSettings,
@@ -13,6 +14,7 @@
 import type { FleetDirectory } from '../ports/fleet-directory.js';
 import type { EventLog } from '../runtime/event-log.js';
 import { groupByDomain } from './domains.js';
+import { type Evacuation, KnownEvacuations } from './evacuations.js';
 import { FleetContents, type LostRecord } from './fleet-contents.js';
 import type { KnownPrimary, StoredRecord } from './known-primaries.js';
 import {
@@ -24,16 +26,7 @@
   parseRecordKey,
   type PrimaryRecord,
 } from './records.js';
-
-/** Which parts of the view a change may have affected. */
-export interface ViewChange {
-  readonly settings: boolean;
-  readonly members: boolean;
-  readonly primaries: boolean;
-  readonly instances: boolean;
-}
-
-const ALL_CHANGED: ViewChange = { settings: true, members: true, primaries: true, instances: true };
+import { ALL_CHANGED, type ViewChange } from './view-change.js';
 
 /**
  * Holds the newest known contents of the store, decoded.
@@ -47,6 +40,8 @@
 
   private readonly contents: FleetContents;
 
+  private readonly evacuations: KnownEvacuations;
+
   private domains: ReadonlyMap<string, DomainInstances> | undefined;
 
   private resolveFirstSettings: () => void = () => {};
@@ -57,12 +52,29 @@
 
   private readonly listeners: ((change: ViewChange) => void)[] = [];
 
+  /**
+   * @param directory - decodes what the platform keeps in the store
+   * @param confirmation - tracks when the store last confirmed the view
+   * @param log - receives what changes
+   * @param clock - source of time
+   * @param maxEvacuationDelayMs - bound on evacuations; undefined if the deployment has none
+   */
   constructor(
     private readonly directory: FleetDirectory,
     readonly confirmation: ConfirmationTracker,
     log: EventLog,
+    clock: Pick<Clock, 'now'>,
+    maxEvacuationDelayMs?: Milliseconds,
   ) {
     this.contents = new FleetContents(directory, log);
+    this.evacuations = new KnownEvacuations({
+      directory,
+      confirmation,
+      clock,
+      log,
+      maxDelayMs: maxEvacuationDelayMs,
+      listMembers: () => [...this.members.values()],
+    });
   }
 
   /** @returns the settings in force */
@@ -82,6 +94,16 @@
     return this.contents.instances.entries;
   }
 
+  /** @returns the evacuations in force, by failure domain */
+  get evacuatedDomains(): ReadonlyMap<string, Evacuation> {
+    return this.evacuations.domains;
+  }
+
+  /** @returns when the last evacuation of a failure domain ended, if one has ended and none is in force */
+  findEvacuationEnd(failureDomain: string): Milliseconds | undefined {
+    return this.evacuations.findEnd(failureDomain);
+  }
+
   get coordinator(): StoredRecord<CoordinatorRecord> | undefined {
     return this.contents.coordinator;
   }
@@ -124,10 +146,14 @@
    */
   replace({ items, era }: Pick<StoreSnapshot, 'items' | 'era'>, now: Milliseconds): boolean {
     if (this.era !== undefined && era < this.era) return false;
-    if (this.era !== undefined && era > this.era) this.contents.beginEra(now);
+    if (this.era !== undefined && era > this.era) {
+      this.contents.beginEra(now);
+      this.evacuations.beginEra(now);
+    }
     this.era = era;
     this.contents.removeUnlisted(new Set(items.map(({ key }) => key)));
     for (const item of items) this.contents.put(item);
+    this.evacuations.replace(items);
     this.notify(ALL_CHANGED);
     return true;
   }
@@ -144,6 +170,7 @@
       if (event.kind === 'written') this.contents.put(event.item);
       else this.contents.remove(event.key);
     }
+    this.evacuations.apply(events);
     const keys = events.map((event) => (event.kind === 'written' ? event.item.key : event.key));
     const kinds = new Set(keys.map((key) => parseRecordKey(key)?.kind));
     this.notify({
@@ -204,7 +231,7 @@
   }
 
   /**
-   * Lists what a check has to confirm: settings, primaries and this instance's own record.
+   * Lists what a check has to confirm: settings, evacuations, primaries and this instance's own record.
    *
    * @param self - this instance
    * @returns keys and their known revisions
@@ -219,7 +246,7 @@
     for (const [group, { revision }] of this.primaries) {
       expectations.push({ key: formatPrimaryKey(group), revision });
     }
-    return expectations;
+    return [...expectations, ...this.evacuations.listExpectations()];
   }
 
   /**
@@ -235,7 +262,8 @@
   /** Removes members and instances that are still missing once they are no longer retained. */
   removeMissing(now: Milliseconds): void {
     const { members, instances } = this.contents.removeMissing(now);
-    if (members || instances) {
+    const hasEnded = this.evacuations.removeMissing(now);
+    if (members || instances || hasEnded) {
       this.notify({ settings: false, members, primaries: false, instances });
     }
   }
--- a/packages/gateway/src/fleet/relay-server.ts
+++ b/packages/gateway/src/fleet/relay-server.ts
@@ -177,7 +177,8 @@
     // Subscribers expect only their own instance record, so the others are not compared.
     for (const [key, revision] of lastCheck.confirmedRevisions) {
       const isInstanceRecord = parseRecordKey(key)?.kind === 'instance';
-      if (!isInstanceRecord && (subscriberRevisions.get(key) ?? -1) < revision) {
+      // A key that the subscriber does not name is one that it does not know to exist.
+      if (!isInstanceRecord && (subscriberRevisions.get(key) ?? 0) < revision) {
         return { ...header, outcome: 'conflict' };
       }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,7 +96,9 @@
     const confirmationLimits = resolveConfirmationLimits(maxKeyRevocationDelayMs);
     const confirmation = new ConfirmationTracker(confirmationLimits);
     const { store, directory, promotions, members } = ports;
-    this.view = new FleetView(directory, confirmation, log);
+    const { maxEvacuationDelayMs } = settings;
+    this.view = new FleetView(directory, confirmation, log, clock, maxEvacuationDelayMs);
+    this.view.onChange(() => this.metrics.evacuatedDomains.set(this.view.evacuatedDomains.size));
     const hosts = new HostDirectory(instance, this.view, clock);
     this.memberRegistry = new MemberRegistry(
       settings,
@@ -259,6 +261,7 @@
       confirmationAgeMs: this.view.confirmation.resolveAge(this.clock.now()),
       isCoordinator: this.failover.isCoordinator,
       storeEra: this.view.era,
+      evacuatedDomains: Object.fromEntries(this.view.evacuatedDomains),
       isStoreComplete: this.view.isComplete,
       coordinator: this.view.coordinator?.value.instance,
       instances: [...this.view.instances.keys()],
--- a/packages/gateway/src/hosting/hosting-tasks.ts
+++ b/packages/gateway/src/hosting/hosting-tasks.ts
@@ -15,6 +15,9 @@
 /** Weight of an organisation without a rate, in requests per second. */
 const MIN_ORGANISATION_WEIGHT = 1;
 
+/** Interval at which transactions at members of evacuated domains are checked for their end. */
+const EVACUATION_CHECK_INTERVAL_MS = 100;
+
 /** What the hosting of members needs of its instance. */
 export interface HostingServices {
   readonly self: InstanceId;
@@ -35,6 +38,10 @@
 
   private readonly router: MemberAccessRouter;
 
+  private readonly local: LocalMemberAccess;
+
+  private evacuationTimer: NodeJS.Timeout | undefined;
+
   constructor(private readonly services: HostingServices) {
     const { self, hub, hosts, memberRegistry, grantChecker, metrics } = services;
     const { view, clock, random, log } = services;
@@ -45,6 +52,7 @@
       random,
       (organisation) => this.findWeight(organisation),
     );
+    this.local = local;
     this.server = new MemberHostServer(hub, local, memberRegistry, view, clock, log);
     this.router = new MemberAccessRouter(
       self,
@@ -67,6 +75,10 @@
   /** Starts to watch the hosts of members. */
   start(): void {
     this.router.start();
+    this.evacuationTimer = setInterval(
+      () => this.endEvacuatedTransactions(),
+      EVACUATION_CHECK_INTERVAL_MS,
+    );
   }
 
   /** Tells other instances to send no further statements here. */
@@ -82,6 +94,14 @@
   async stop(waitMs: number): Promise<void> {
     await this.server.drain(waitMs);
     this.router.stop();
+    clearInterval(this.evacuationTimer);
+  }
+
+  private endEvacuatedTransactions(): void {
+    const { view, log } = this.services;
+    if (view.evacuatedDomains.size === 0) return;
+    const transactions = this.local.endEvacuatedTransactions();
+    if (transactions > 0) log.info('evacuation.transactions.ended', { transactions });
   }
 
   /** Organisations share an overloaded member in proportion to their rates. */
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
+import type { EvacuationGuard } from '../members/evacuation-guard.js';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { MemberPool } from '../members/member-pool.js';
@@ -44,6 +45,8 @@
  * checked again right before a request is sent, since both may change while it waits.
  */
 export class LocalMemberAccess implements MemberAccess {
+  private readonly openTransactions = new Set<LocalMemberTransaction>();
+
   constructor(
     private readonly memberRegistry: MemberRegistry,
     private readonly grantChecker: GrantChecker,
@@ -87,13 +90,35 @@
     if (result.kind === 'answered' && result.reply.error === undefined) {
       const gate = this.memberRegistry.findSlotGate(request.member);
       const weight = this.findWeight(request.credentials.organisation);
-      const transaction = new LocalMemberTransaction(pool, connection, gate, request, weight);
+      const { evacuationGuard } = this.memberRegistry;
+      const transaction: LocalMemberTransaction = new LocalMemberTransaction(
+        pool,
+        connection,
+        gate,
+        request,
+        weight,
+        evacuationGuard,
+        () => this.openTransactions.delete(transaction),
+      );
+      this.openTransactions.add(transaction);
       return { kind: 'open', transaction };
     }
     pool.release(connection);
     return result;
   }
 
+  /**
+   * Rolls back the transactions at members of evacuated domains whose time is over, except those with a
+   * statement or a commit under way.
+   *
+   * @returns number of transactions rolled back
+   */
+  endEvacuatedTransactions(): number {
+    const expired = [...this.openTransactions].filter((transaction) => transaction.isExpired);
+    for (const transaction of expired) transaction.end();
+    return expired.length;
+  }
+
   private createSlotRefusal(result: Exclude<SlotResult, { kind: 'granted' }>): AccessRefusal {
     if (result.kind === 'timeout') return createRefusal('timeout');
     // The random part spreads the callers that were refused together.
@@ -153,10 +178,10 @@
     return refusal;
   }
 
-  private findRefusal(
-    { member, credentials, waitFor }: ConnectionRequest,
-    check: PrimaryCheck,
-  ): AccessRefusal | undefined {
+  private findRefusal(request: ConnectionRequest, check: PrimaryCheck): AccessRefusal | undefined {
+    const { member, credentials, waitFor } = request;
+    const evacuated = this.memberRegistry.evacuationGuard.findRefusal(request);
+    if (evacuated !== undefined) return evacuated;
     const code = this.grantChecker.findRefusal(credentials);
     if (code !== undefined) {
       const reason = code === 'key-rejected' ? 'key' : 'stale-key';
@@ -178,18 +203,41 @@
 class LocalMemberTransaction implements MemberTransaction {
   private isEnded = false;
 
+  /** Statements that wait or run. */
+  private running = 0;
+
   constructor(
     private readonly pool: MemberPool,
     private readonly connection: MemberConnection,
     private readonly gate: SlotGate | undefined,
     private readonly request: BeginRequest,
     private readonly weight: number,
+    private readonly evacuationGuard: EvacuationGuard,
+    private readonly onEnd: () => void,
   ) {}
 
+  /** Whether the member's domain is evacuated, the time for open transactions is over and none runs. */
+  get isExpired(): boolean {
+    return this.running === 0 && !this.evacuationGuard.mayContinue(this.request.member);
+  }
+
   async run(
     statement: MemberStatement,
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
+  ): Promise<ExchangeResult> {
+    this.running += 1;
+    try {
+      return await this.runAdmitted(statement, values, timeoutMs);
+    } finally {
+      this.running -= 1;
+    }
+  }
+
+  private async runAdmitted(
+    statement: MemberStatement,
+    values: ReadonlyMap<string, string>,
+    timeoutMs: number,
   ): Promise<ExchangeResult> {
     const { credentials } = this.request;
     // A statement of an open transaction is not refused for its wait: the work done would be lost.
@@ -219,12 +267,16 @@
     if (this.isEnded) {
       return { kind: 'lost', reason: 'the transaction has ended', wasSent: false };
     }
+    const { member } = this.request;
+    const evacuated = this.evacuationGuard.findRefusal({ member, access: 'transaction' });
+    if (evacuated !== undefined) return { kind: 'lost', reason: evacuated.text, wasSent: false };
     return this.connection.runInSession({ values }, statement, undefined, timeoutMs);
   }
 
   end(): void {
     if (this.isEnded) return;
     this.isEnded = true;
+    this.onEnd();
     void this.release();
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from './fleet/change-buffer.js';
 export * from './fleet/domains.js';
+export * from './fleet/evacuations.js';
 export * from './fleet/fleet-view-updater.js';
 export * from './fleet/fleet-view.js';
 export * from './fleet/known-primaries.js';
@@ -10,8 +11,10 @@
 export * from './fleet/instance-registration.js';
 export * from './fleet/store-source.js';
 export * from './fleet/store-state.js';
+export * from './fleet/view-change.js';
 export * from './fleet/view-source.js';
 export * from './gateway.js';
+export * from './members/evacuation-guard.js';
 export * from './members/member-registry.js';
 export * from './members/member-connection.js';
 export * from './members/member-pool.js';
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -18,7 +18,9 @@
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
+import { EvacuationGuard } from './evacuation-guard.js';
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
+import { isSameEndpoint } from './member-endpoint.js';
 import { MemberPool } from './member-pool.js';
 import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
@@ -66,6 +68,9 @@
   /** Primaries of the groups and samples of their logs. */
   readonly primaryTracker: PrimaryTracker;
 
+  /** Decides what may be sent to members of evacuated failure domains. */
+  readonly evacuationGuard: EvacuationGuard;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -78,6 +83,8 @@
     private readonly log: EventLog,
   ) {
     this.primaryTracker = new PrimaryTracker(view, (member) => this.states.has(member), clock, log);
+    const isPrimary = (member: MemberId): boolean => this.isPrimary(member);
+    this.evacuationGuard = new EvacuationGuard(view, isPrimary, clock, metrics);
     view.onChange(() => this.applyView());
   }
 
@@ -145,7 +152,9 @@
       if (entry.group !== group) continue;
       const isPrimary = entry.id === primary;
       if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
-      const { id, isDraining } = entry;
+      if (!this.evacuationGuard.mayUse(entry)) continue;
+      const { id } = entry;
+      const isDraining = entry.isDraining || this.evacuationGuard.isEvacuated(entry);
       const pending = state.slotGate.pending + state.load.estimatePending(now);
       const avoidUntil = toMilliseconds(Math.max(pool.avoidUntil, state.avoidUntil));
       const distance = this.computeDistance(entry.failureDomain);
@@ -287,13 +296,3 @@
     });
   }
 }
-
-/** @returns whether the connections of one entry's pool can also be used for the other entry */
-function isSameEndpoint(left: MemberEntry, right: MemberEntry): boolean {
-  return (
-    left.host === right.host &&
-    left.port === right.port &&
-    left.incarnation === right.incarnation &&
-    left.group === right.group
-  );
-}
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -59,6 +59,19 @@
     registers: [this.registry],
   });
 
+  readonly evacuatedDomains = new Gauge({
+    name: 'heatherledge_gateway_evacuated_domains',
+    help: 'Failure domains whose evacuation is in force on this instance.',
+    registers: [this.registry],
+  });
+
+  readonly evacuationRefusals = new Counter({
+    name: 'heatherledge_gateway_evacuation_refusals_total',
+    help: 'Requests refused because the failure domain of their member is evacuated, by access.',
+    labelNames: ['access'] as const,
+    registers: [this.registry],
+  });
+
   readonly sessions = new Gauge({
     name: 'heatherledge_gateway_sessions',
     help: 'Callers connected.',
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -123,6 +123,10 @@
       clock.now(),
     );
     if (placement === undefined) {
+      const primary = memberRegistry.primaryTracker.find(route.group);
+      const evacuated =
+        primary && memberRegistry.evacuationGuard.findRefusal({ member: primary, access: 'read' });
+      if (evacuated !== undefined) return { ...evacuated, kind: 'final' };
       await memberRegistry.primaryTracker.waitFor(route.group, deadline - clock.now());
       return { kind: 'retry', code: 'busy', text: 'no member is known to hold recent data' };
     }
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -35,8 +35,8 @@
 
   private isEnded = false;
 
-  /** Whether the primary is overloaded, in a transaction that only the primary can run. */
-  private isOverloaded = false;
+  /** Whether further attempts to begin would be refused as well. */
+  private isRefused = false;
 
   private idleTimer: NodeJS.Timeout | undefined;
 
@@ -147,7 +147,7 @@
       const result = await this.attemptBegin(tried, deadline);
       if (result === undefined) return;
       failure = result;
-      if (result.code === 'key-rejected' || this.isOverloaded) break;
+      if (result.code === 'key-rejected' || this.isRefused) break;
       await delay(MIN_BEGIN_RETRY_DELAY_MS * (1 + random()));
     }
     this.failure ??= failure;
@@ -168,6 +168,9 @@
       return { code: 'busy', text: 'no member can begin a transaction' };
     }
     const { member } = placement;
+    const evacuated = memberRegistry.evacuationGuard.findRefusal({ member });
+    this.isRefused = evacuated !== undefined;
+    if (evacuated !== undefined) return evacuated;
     tried.add(member);
     const timeoutMs = deadline - clock.now();
     const request = createConnectionRequest(placement, this.grant, this.state, timeoutMs);
@@ -190,7 +193,7 @@
 
   private handleRefusal({ reason, code, text }: AccessRefusal, member: MemberId): WireError {
     const { memberRegistry } = this.services;
-    this.isOverloaded = reason === 'overloaded' && !this.isReadOnly;
+    this.isRefused = reason === 'overloaded' && !this.isReadOnly;
     if (reason === 'unreachable') memberRegistry.recordUnreachable(member);
     return { code, text };
   }
--- a/packages/gateway/src/sessions/write-executor.ts
+++ b/packages/gateway/src/sessions/write-executor.ts
@@ -59,6 +59,8 @@
     const { group } = grant.route;
     const member = await memberRegistry.primaryTracker.waitFor(group, deadline - clock.now());
     if (member === undefined) return createRetryableRefusal('no primary is known');
+    const evacuated = memberRegistry.evacuationGuard.findRefusal({ member, access: 'write' });
+    if (evacuated !== undefined) return { ...handleRefusal(evacuated), isFinal: true };
     const placement = { member, waitFor: undefined };
     const request = createConnectionRequest(placement, grant, state, deadline - clock.now());
     const result = await memberAccess.run({ ...request, access: 'write', statement });
--- a/packages/gateway/test/hosting/member-access-router.test.ts
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -81,6 +81,7 @@
         maxReadyAgeMs: limit,
       }),
       new EventLog(clock),
+      clock,
     );
     const revision = 1 as StoreRevision;
     const createItem = (key: string, value: Buffer) => ({
--- a/packages/gateway/test/units/fleet.test.ts
+++ b/packages/gateway/test/units/fleet.test.ts
@@ -61,13 +61,14 @@
 };
 
 function createView(): FleetView {
+  const clock = new ManualClock();
   const limit = toMilliseconds(1000);
   const confirmation = new ConfirmationTracker({
     maxKeyedAgeMs: limit,
     maxPrimaryAgeMs: limit,
     maxReadyAgeMs: limit,
   });
-  const view = new FleetView(DIRECTORY, confirmation, new EventLog(new ManualClock()));
+  const view = new FleetView(DIRECTORY, confirmation, new EventLog(clock), clock);
   view.replace({ items: [], era: ERA }, NOW);
   return view;
 }
--- a/packages/gateway/test/units/member-entries.test.ts
+++ b/packages/gateway/test/units/member-entries.test.ts
@@ -71,7 +71,7 @@
   beforeEach(() => {
     const limit = toMilliseconds(1000);
     const limits = { maxKeyedAgeMs: limit, maxPrimaryAgeMs: limit, maxReadyAgeMs: limit };
-    view = new FleetView(DIRECTORY, new ConfirmationTracker(limits), new EventLog(clock));
+    view = new FleetView(DIRECTORY, new ConfirmationTracker(limits), new EventLog(clock), clock);
     revision = 10 as StoreRevision;
     load({ sequence: 7 }, 1);
   });
--- a/packages/gateway/test/units/member-registry.test.ts
+++ b/packages/gateway/test/units/member-registry.test.ts
@@ -111,6 +111,7 @@
         maxReadyAgeMs: limit,
       }),
       log,
+      clock,
     );
     const self = toBrand<InstanceId>('i0');
     const settings = {
--- a/packages/gateway/test/units/primary-tracker.test.ts
+++ b/packages/gateway/test/units/primary-tracker.test.ts
@@ -45,7 +45,7 @@
   });
   confirmation.confirm(clock.now());
   const log = new EventLog(clock);
-  const view = new FleetView(DIRECTORY, confirmation, log);
+  const view = new FleetView(DIRECTORY, confirmation, log, clock);
   const era = toBrand<StoreEra>(1);
   view.replace({ items: [], era }, clock.now());
   const tracker = new PrimaryTracker(view, () => true, clock, log);
--- a/packages/gateway/test/units/transaction.test.ts
+++ b/packages/gateway/test/units/transaction.test.ts
@@ -78,6 +78,7 @@
       findSlotGate: () => new SlotGate(ENTRY.slots, clock),
       listReaders: () => [],
       isPrimary: () => true,
+      evacuationGuard: { findRefusal: () => undefined, mayContinue: () => true },
       mayReadLatestAt: () => true,
     } as unknown as MemberRegistry;
     const services = {
