Replace the primaries of evacuated domains in a planned switchover

Cause: the primary of an evacuated domain stayed there, so its group refused writes until the request was withdrawn. Change: 0.1 of the bound after it has learned of the request, the coordinator replaces such a primary (reason evacuated) once a member outside has received its whole log. A promotion prefers members outside, and takes one inside only if the change has another cause.

--- a/packages/core/src/failover/promotion-plan.ts
+++ b/packages/core/src/failover/promotion-plan.ts
@@ -8,6 +8,8 @@
   readonly isDraining: boolean;
   /** Callers are served by listed members only, so these are preferred. */
   readonly isListed: boolean;
+  /** Whether its failure domain is evacuated; other members are preferred. */
+  readonly isEvacuated?: boolean;
   /** Distance from most callers, 0 if as near as the old primary; nearer members are preferred. */
   readonly distance: number;
   /** Log position up to which it has received the log; undefined if it could not be fenced. */
@@ -30,19 +32,24 @@
  *
  * @param members - all members of the group that may hold acknowledged commits
  * @param syncReplicas - replicas that must have received a commit before it is acknowledged
+ * @param mayPromoteEvacuated - whether a member of an evacuated domain may be promoted if no other can
  * @returns the member to promote, or the reason why none can be promoted yet
  */
 export function planPromotion(
   members: readonly FencedMember[],
   syncReplicas: number,
+  mayPromoteEvacuated = true,
 ): PromotionPlan {
   const safePosition = findSafePosition(members, syncReplicas);
   if (safePosition === undefined) {
     return { kind: 'wait', reason: 'a member that may hold acknowledged commits is unreachable' };
   }
   const candidates = members.filter(
-    ({ received, isDraining }) =>
-      !isDraining && received !== undefined && comparePositions(received, safePosition) >= 0,
+    ({ received, isDraining, isEvacuated = false }) =>
+      !isDraining &&
+      (mayPromoteEvacuated || !isEvacuated) &&
+      received !== undefined &&
+      comparePositions(received, safePosition) >= 0,
   );
   candidates.sort((left, right) => compareCandidates(left, right));
   const [best] = candidates;
@@ -67,6 +74,8 @@
 
 function compareCandidates(left: FencedMember, right: FencedMember): number {
   if (left.isListed !== right.isListed) return left.isListed ? -1 : 1;
+  const { isEvacuated = false } = left;
+  if (isEvacuated !== (right.isEvacuated ?? false)) return isEvacuated ? 1 : -1;
   if (left.wasPrimary !== right.wasPrimary) return left.wasPrimary ? 1 : -1;
   if (left.distance !== right.distance) return left.distance - right.distance;
   return left.id < right.id ? -1 : 1;
--- a/packages/core/test/units/promotion.test.ts
+++ b/packages/core/test/units/promotion.test.ts
@@ -38,6 +38,24 @@
   describe('with a primary that has stepped down', () => {
     const primary = createMember('p', 10, { wasPrimary: true, isDraining: true });
 
+    // Guards against a primary that lands in a domain that is evacuated as well.
+    it('prefers a replica outside the evacuated domains to a nearer one inside', () => {
+      const inside = createMember('a', 10, { isEvacuated: true });
+      const outside = createMember('b', 10, { distance: 2 });
+      expect(planPromotion([primary, inside, outside], 1)).toEqual({
+        kind: 'promote',
+        member: 'b',
+      });
+    });
+
+    // Guards against a group that stays without a primary after a crash during an evacuation, and against
+    // a planned switchover from one evacuated member to another.
+    it('promotes a replica inside only if the change has another cause', () => {
+      const members = [primary, createMember('a', 10, { isEvacuated: true }), createMember('b', 8)];
+      expect(planPromotion(members, 1)).toEqual({ kind: 'promote', member: 'a' });
+      expect(planPromotion(members, 1, false).kind).toBe('wait');
+    });
+
     it('promotes a replica that has received the whole log', () => {
       const plan = planPromotion([primary, createMember('a', 10), createMember('b', 8)], 1);
       expect(plan).toEqual({ kind: 'promote', member: 'a' });
--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -34,6 +34,7 @@
   readonly endpoint: MemberEndpoint;
   readonly isDraining: boolean;
   readonly isListed: boolean;
+  readonly isEvacuated: boolean;
 }
 
 /** Stops the commits of a group's old primary, and chooses the member to promote. */
@@ -47,14 +48,18 @@
    * Fences the members and chooses the one to promote.
    *
    * @param previous - the primary before the change
+   * @param mayPromoteEvacuated - whether a member of an evacuated domain may be promoted if no other can
    * @returns the member to promote, or undefined if no choice is safe in time
    */
-  async chooseSuccessor(previous: MemberId | undefined): Promise<MemberEndpoint | undefined> {
+  async chooseSuccessor(
+    previous: MemberId | undefined,
+    mayPromoteEvacuated: boolean,
+  ): Promise<MemberEndpoint | undefined> {
     const { clock, log } = this.services;
     const deadline = clock.now() + FENCE_TIMEOUT_MS;
     let reason = '';
     while (clock.now() < deadline) {
-      const { plan, endpoints } = await this.fence(previous);
+      const { plan, endpoints } = await this.fence(previous, mayPromoteEvacuated);
       if (plan.kind === 'promote') return endpoints.get(plan.member);
       reason = plan.reason;
       await delay(RETRY_INTERVAL_MS);
@@ -70,23 +75,27 @@
    */
   private async fence(
     previous: MemberId | undefined,
+    mayPromoteEvacuated: boolean,
   ): Promise<{ plan: PromotionPlan; endpoints: ReadonlyMap<MemberId, MemberEndpoint> }> {
     const { view, holderPresence } = this.services;
     const departed = this.listDeparted();
     const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
-    const listed: FenceTarget[] = view
-      .listMembers(this.group)
-      .map((endpoint) => ({ endpoint, isDraining: endpoint.isDraining, isListed: true }));
+    const listed: FenceTarget[] = view.listMembers(this.group).map((endpoint) => ({
+      endpoint,
+      isDraining: endpoint.isDraining,
+      isListed: true,
+      isEvacuated: view.evacuatedDomains.has(endpoint.failureDomain),
+    }));
     const isReplicaUp = ({ holder, id }: DepartedHolder): boolean =>
       id !== previous && holderPresence.wasUp(holder);
     let targets = [...listed, ...createUnlistedTargets(departed.filter(isReplicaUp))];
     let fenced = await this.fenceTargets(targets, departed, previous);
-    let plan = planPromotion(fenced.members, syncReplicas);
+    let plan = planPromotion(fenced.members, syncReplicas, mayPromoteEvacuated);
     const unlisted = createUnlistedTargets(departed);
     if (plan.kind === 'wait' && listed.length + unlisted.length > targets.length) {
       targets = [...listed, ...unlisted];
       fenced = await this.fenceTargets(targets, departed, previous);
-      plan = planPromotion(fenced.members, syncReplicas);
+      plan = planPromotion(fenced.members, syncReplicas, mayPromoteEvacuated);
     } else if (plan.kind === 'promote') {
       this.demoteUnlisted(departed, previous, fenced.term);
     }
@@ -167,16 +176,19 @@
 
 function createUnlistedTargets(departed: readonly DepartedHolder[]): FenceTarget[] {
   return departed.flatMap(({ endpoint, isReplaced }) =>
-    endpoint === undefined || isReplaced ? [] : [{ endpoint, isDraining: false, isListed: false }],
+    endpoint === undefined || isReplaced
+      ? []
+      : [{ endpoint, isDraining: false, isListed: false, isEvacuated: false }],
   );
 }
 
 function createFenced(
-  { endpoint, isDraining, isListed }: FenceTarget,
+  { endpoint, isDraining, isListed, isEvacuated }: FenceTarget,
   wasPrimary: boolean,
   received: FencedMember['received'],
 ): FencedMember {
-  return { id: endpoint.id, wasPrimary, isDraining, isListed, distance: 0, received };
+  const { id } = endpoint;
+  return { id, wasPrimary, isDraining, isListed, isEvacuated, distance: 0, received };
 }
 
 /** Creates the state of an unlisted commit holder that was not reached. */
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -42,7 +42,7 @@
 }
 
 /** Why a primary is replaced; `resumed` continues a change that an earlier attempt left open. */
-export type PrimaryChangeReason = 'draining' | 'unreachable' | 'missing' | 'resumed';
+export type PrimaryChangeReason = 'draining' | 'evacuated' | 'unreachable' | 'missing' | 'resumed';
 
 /** One attempt to change the primary of one group. */
 export class PrimaryChange {
@@ -72,7 +72,10 @@
     });
     const [, chosen] = await Promise.all([
       this.suspendPrevious(record.value.epoch),
-      new MemberFencing(this.group, this.services).chooseSuccessor(previous),
+      new MemberFencing(this.group, this.services).chooseSuccessor(
+        previous,
+        reason !== 'evacuated',
+      ),
     ]);
     const promoted = chosen !== undefined && (await this.promote(chosen));
     const isDone = promoted && (await this.recordNewPrimary(chosen.id));
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -16,6 +16,7 @@
 import type { MemberStatus } from '../ports/member-protocol.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
+import { EvacuatedPrimaries } from './evacuated-primaries.js';
 import {
   type PrimaryChangeReason,
   type PrimaryChangeServices,
@@ -47,7 +48,7 @@
 
 /**
  * Monitors the primaries of all groups. Every instance reports suspected primaries; the coordinator
- * replaces primaries that are draining, missing or unreachable.
+ * replaces primaries that are draining, in evacuated domains, missing or unreachable.
  */
 export class PrimaryMonitor {
   private readonly suspicions = new SuspicionTracker();
@@ -62,6 +63,8 @@
 
   private readonly commitHolderTracker: CommitHolderTracker;
 
+  private readonly evacuatedPrimaries: EvacuatedPrimaries;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -70,6 +73,7 @@
     private readonly metrics: GatewayMetrics,
   ) {
     this.commitHolderTracker = new CommitHolderTracker(services);
+    this.evacuatedPrimaries = new EvacuatedPrimaries(services);
     hub.handle('primary.suspend', ({ group, epoch }) => {
       services.memberRegistry.primaryTracker.suspend(toBrand<GroupId>(group), epoch);
       return { kind: 'done' };
@@ -101,6 +105,7 @@
     if (!lease.isHeld) {
       this.missingSince.clear();
       this.drainingSince.clear();
+      this.evacuatedPrimaries.clear();
     }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
@@ -172,6 +177,7 @@
       .listMembers(group)
       .some(({ id, isDraining }) => id !== member && !isDraining);
     if (entry.isDraining && mayReplace && (await this.mayStepDown(group, entry))) return 'draining';
+    if (await this.evacuatedPrimaries.mayReplace(entry)) return 'evacuated';
     if (!this.suspicions.isSuspected(group, member, now)) return undefined;
     const observers = chooseObservers(member, view.listDomains().values());
     const [status] = await Promise.all([
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -1,4 +1,5 @@
 import {
+  computeEvacuationWindow,
   type GroupId,
   HolderPresenceTracker,
   type InstanceId,
@@ -6,17 +7,20 @@
   type MemberEntry,
   type MemberId,
   toBrand,
+  toMilliseconds,
 } from '@heatherledge/core';
 import type { PeerBody, PeerHub } from '@heatherledge/daemon';
 import { err } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import {
+  type Evacuation,
   type GatewayMetrics,
   formatCoordinator,
   type LeaseId,
   type PrimaryChangeServices,
   PrimaryMonitor,
   type PrimaryRecord,
+  type StoreRevision,
   type StoreTransaction,
 } from '../../src/index.js';
 
@@ -42,6 +46,7 @@
   let hasCaughtUp: boolean;
   let sent: { to: InstanceId; body: PeerBody }[];
   let attempts: number;
+  let evacuatedDomains: Map<string, Evacuation>;
   let monitor: PrimaryMonitor;
 
   beforeEach(() => {
@@ -53,6 +58,7 @@
     coordinator = 'other/7';
     sent = [];
     attempts = 0;
+    evacuatedDomains = new Map();
     members = new Map([
       [PRIMARY, createEntry(PRIMARY, { role: 'primary' })],
       [REPLICA, createEntry(REPLICA, {})],
@@ -74,6 +80,9 @@
         },
         primaries: new Map([[GROUP, { value: record, revision: 1, createdRevision: 1 }]]),
         members,
+        get evacuatedDomains() {
+          return evacuatedDomains;
+        },
         listMembers: () => [...members.values()],
       },
       lease: {
@@ -136,6 +145,62 @@
     },
   );
 
+  describe('while the domain of the primary is evacuated', () => {
+    function evacuate(...domains: string[]): void {
+      const learnedAt = clock.now();
+      const window = computeEvacuationWindow(learnedAt, learnedAt, toMilliseconds(5000));
+      const evacuation = { revision: toBrand<StoreRevision>(1), learnedAt, window };
+      evacuatedDomains = new Map(domains.map((domain) => [domain, evacuation]));
+    }
+
+    beforeEach(() => {
+      isCoordinator = true;
+      hasCaughtUp = true;
+      members.set(REPLICA, createEntry(REPLICA, { failureDomain: 'b' }));
+    });
+
+    // Guards against a domain whose primary stays, and against no time for open transactions.
+    it('replaces it soon by a caught-up member outside', async () => {
+      evacuate('a');
+      await advance(400);
+      expect(attempts).toBe(0);
+      await advance(300);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
+    // Guards against a switchover that leaves the group without a primary.
+    it.each<[string, string[], Partial<MemberEntry>]>([
+      ['is in an evacuated domain too', ['a', 'b'], { failureDomain: 'b' }],
+      ['is in the same domain', ['a'], {}],
+      ['drains', ['a'], { failureDomain: 'b', isDraining: true }],
+    ])('does not replace it if the only other member %s', async (_, domains, changes) => {
+      members.set(REPLICA, createEntry(REPLICA, changes));
+      evacuate(...domains);
+      await advance(10_000);
+      expect(attempts).toBe(0);
+    });
+
+    // Guards against a primary that has stepped down before any member outside holds its log.
+    it('waits until the member outside has caught up', async () => {
+      hasCaughtUp = false;
+      evacuate('a');
+      await advance(10_000);
+      expect(attempts).toBe(0);
+      hasCaughtUp = true;
+      await advance(200);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
+    // Guards against a switchover that no request asks for any more.
+    it('does not replace it if the request is withdrawn before that', async () => {
+      evacuate('a');
+      await advance(400);
+      evacuatedDomains = new Map();
+      await advance(2000);
+      expect(attempts).toBe(0);
+    });
+  });
+
   describe('while the primary drains', () => {
     beforeEach(() => {
       isCoordinator = true;
