--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -44,6 +44,8 @@
   let isSilent: boolean;
   /** Whether the replica has received all that the primary holds. */
   let hasCaughtUp: boolean;
+  /** Whether the primary responds to commands. */
+  let isPrimaryUp: boolean;
   let sent: { to: InstanceId; body: PeerBody }[];
   let attempts: number;
   let evacuatedDomains: Map<string, Evacuation>;
@@ -55,6 +57,7 @@
     isCoordinator = false;
     isSilent = false;
     hasCaughtUp = false;
+    isPrimaryUp = true;
     coordinator = 'other/7';
     sent = [];
     attempts = 0;
@@ -91,10 +94,13 @@
         },
       },
       control: {
-        sendCommand: async ({ id }: MemberEntry) => ({
-          role: id === PRIMARY ? 'primary' : 'replica',
-          received: { term: 1, position: id === PRIMARY || hasCaughtUp ? 9 : 5 },
-        }),
+        sendCommand: async ({ id }: MemberEntry) => {
+          if (id === PRIMARY && !isPrimaryUp) return undefined;
+          return {
+            role: id === PRIMARY ? 'primary' : 'replica',
+            received: { term: 1, position: id === PRIMARY || hasCaughtUp ? 9 : 5 },
+          };
+        },
       },
       store: {
         commit: async ({ puts }: StoreTransaction) => {
@@ -191,6 +197,16 @@
       expect(attempts).toBeGreaterThan(0);
     });
 
+    // Guards against a crash that nobody notices, as no statements are sent to the primary any more.
+    it('replaces it if it does not respond for 4 s', async () => {
+      isPrimaryUp = false;
+      evacuate('a');
+      await advance(4000);
+      expect(attempts).toBe(0);
+      await advance(800);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
     // Guards against a switchover that no request asks for any more.
     it('does not replace it if the request is withdrawn before that', async () => {
       evacuate('a');
