--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -1,4 +1,5 @@
 import {
+  computeEvacuationWindow,
   type GroupId,
   HolderPresenceTracker,
   type InstanceId,
@@ -6,17 +7,20 @@
   type MemberEntry,
   type MemberId,
   toBrand,
+  toMilliseconds,
 } from '@heatherledge/core';
 import type { PeerBody, PeerHub } from '@heatherledge/daemon';
 import { err } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import {
+  type Evacuation,
   type GatewayMetrics,
   formatCoordinator,
   type LeaseId,
   type PrimaryChangeServices,
   PrimaryMonitor,
   type PrimaryRecord,
+  type StoreRevision,
   type StoreTransaction,
 } from '../../src/index.js';
 
@@ -40,8 +44,11 @@
   let isSilent: boolean;
   /** Whether the replica has received all that the primary holds. */
   let hasCaughtUp: boolean;
+  /** Whether the primary responds to commands. */
+  let isPrimaryUp: boolean;
   let sent: { to: InstanceId; body: PeerBody }[];
   let attempts: number;
+  let evacuatedDomains: Map<string, Evacuation>;
   let monitor: PrimaryMonitor;
 
   beforeEach(() => {
@@ -50,9 +57,11 @@
     isCoordinator = false;
     isSilent = false;
     hasCaughtUp = false;
+    isPrimaryUp = true;
     coordinator = 'other/7';
     sent = [];
     attempts = 0;
+    evacuatedDomains = new Map();
     members = new Map([
       [PRIMARY, createEntry(PRIMARY, { role: 'primary' })],
       [REPLICA, createEntry(REPLICA, {})],
@@ -74,6 +83,9 @@
         },
         primaries: new Map([[GROUP, { value: record, revision: 1, createdRevision: 1 }]]),
         members,
+        get evacuatedDomains() {
+          return evacuatedDomains;
+        },
         listMembers: () => [...members.values()],
       },
       lease: {
@@ -82,10 +94,13 @@
         },
       },
       control: {
-        sendCommand: async ({ id }: MemberEntry) => ({
-          role: id === PRIMARY ? 'primary' : 'replica',
-          received: { term: 1, position: id === PRIMARY || hasCaughtUp ? 9 : 5 },
-        }),
+        sendCommand: async ({ id }: MemberEntry) => {
+          if (id === PRIMARY && !isPrimaryUp) return undefined;
+          return {
+            role: id === PRIMARY ? 'primary' : 'replica',
+            received: { term: 1, position: id === PRIMARY || hasCaughtUp ? 9 : 5 },
+          };
+        },
       },
       store: {
         commit: async ({ puts }: StoreTransaction) => {
@@ -136,6 +151,72 @@
     },
   );
 
+  describe('while the domain of the primary is evacuated', () => {
+    function evacuate(...domains: string[]): void {
+      const learnedAt = clock.now();
+      const window = computeEvacuationWindow(learnedAt, learnedAt, toMilliseconds(5000));
+      const evacuation = { revision: toBrand<StoreRevision>(1), learnedAt, window };
+      evacuatedDomains = new Map(domains.map((domain) => [domain, evacuation]));
+    }
+
+    beforeEach(() => {
+      isCoordinator = true;
+      hasCaughtUp = true;
+      members.set(REPLICA, createEntry(REPLICA, { failureDomain: 'b' }));
+    });
+
+    // Guards against a domain whose primary stays, and against no time for open transactions.
+    it('replaces it soon by a caught-up member outside', async () => {
+      evacuate('a');
+      await advance(400);
+      expect(attempts).toBe(0);
+      await advance(300);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
+    // Guards against a switchover that leaves the group without a primary.
+    it.each<[string, string[], Partial<MemberEntry>]>([
+      ['is in an evacuated domain too', ['a', 'b'], { failureDomain: 'b' }],
+      ['is in the same domain', ['a'], {}],
+      ['drains', ['a'], { failureDomain: 'b', isDraining: true }],
+    ])('does not replace it if the only other member %s', async (_, domains, changes) => {
+      members.set(REPLICA, createEntry(REPLICA, changes));
+      evacuate(...domains);
+      await advance(10_000);
+      expect(attempts).toBe(0);
+    });
+
+    // Guards against a primary that has stepped down before any member outside holds its log.
+    it('waits until the member outside has caught up', async () => {
+      hasCaughtUp = false;
+      evacuate('a');
+      await advance(10_000);
+      expect(attempts).toBe(0);
+      hasCaughtUp = true;
+      await advance(200);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
+    // Guards against a crash that nobody notices, as no statements are sent to the primary any more.
+    it('replaces it if it does not respond for 4 s', async () => {
+      isPrimaryUp = false;
+      evacuate('a');
+      await advance(4000);
+      expect(attempts).toBe(0);
+      await advance(800);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
+    // Guards against a switchover that no request asks for any more.
+    it('does not replace it if the request is withdrawn before that', async () => {
+      evacuate('a');
+      await advance(400);
+      evacuatedDomains = new Map();
+      await advance(2000);
+      expect(attempts).toBe(0);
+    });
+  });
+
   describe('while the primary drains', () => {
     beforeEach(() => {
       isCoordinator = true;
