Decide on allowed regions of requests, and on primaries in the wrong region

Cause: routes and organisations name regions outside which their requests must not go, and nothing decides which these are for a request. Change: core resolves the intersection, the reason for a rejection at once, the routes of a group that allow a region, regions that no failure domain has, and when a misplaced primary is due for a switchover.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './failover/holder-presence.js';
 export * from './failover/promotion-plan.js';
 export * from './failover/suspicion-tracker.js';
+export * from './serving/allowed-regions.js';
 export * from './serving/choose-read-member.js';
 export * from './serving/confirmation-tracker.js';
 export * from './serving/connection-budget.js';
--- a/packages/core/src/serving/fleet-settings.ts
+++ b/packages/core/src/serving/fleet-settings.ts
@@ -26,7 +26,10 @@
   readonly allowedRegions?: AllowedRegions | undefined;
 }
 
-/** Regions to which requests are restricted; never empty. */
+/**
+ * Regions to which requests are restricted. Never empty in settings; empty for a request if those of its
+ * route and its organisation have none in common.
+ */
 export type AllowedRegions = ReadonlySet<string>;
 
 /** Limits of one upstream group. */
