Keep requests with allowed regions inside them

Cause: a request of a restricted route or organisation could reach any member, and its body any host. Change: the grant resolves the allowed regions from the newest settings at each access. Reads choose among allowed members; writes, transactions and reads of the latest data are rejected at once while the primary is elsewhere; hosts and standbys outside the regions are passed over in favour of this instance's own connections; open transactions end when changed settings leave out their member or host. The coordinator moves a primary from a region that fewer routes allow, and prefers successors by that count.

--- a/packages/gateway/src/failover/failover-tasks.ts
+++ b/packages/gateway/src/failover/failover-tasks.ts
@@ -23,6 +23,8 @@
   readonly promotions: PromotionPort;
   readonly connector: MemberConnector;
   readonly memberRegistry: MemberRegistry;
+  /** Region of each failure domain. */
+  readonly regionByDomain: ReadonlyMap<string, string>;
   /** How long an instance relies on a confirmed record of a primary, in milliseconds. */
   readonly confirmationTtlMs: number;
   readonly metrics: GatewayMetrics;
@@ -45,7 +47,7 @@
 
   constructor(services: FailoverServices) {
     const { self, hub, view, store, promotions, connector, memberRegistry } = services;
-    const { confirmationTtlMs, metrics, clock, random, log } = services;
+    const { confirmationTtlMs, regionByDomain, metrics, clock, random, log } = services;
     const { primaryTracker } = memberRegistry;
     const lease = new CoordinatorLease(self, store, view, clock, random, log);
     const control = new MemberControl(connector, clock, () => [
@@ -60,6 +62,7 @@
         memberRegistry,
         log,
         confirmationTtlMs,
+        regionByDomain,
         holderPresence: new HolderPresenceTracker(),
       },
       hub,
--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -13,6 +13,7 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { EventLog } from '../runtime/event-log.js';
 import { MemberControl } from './member-control.js';
+import { computeRegionDistance } from './misplacement-check.js';
 import { type DepartedHolder, listDepartedHolders } from './recorded-holders.js';
 
 /** The attempt fails if no member can be promoted safely within this time. */
@@ -22,6 +23,8 @@
 
 /** Services needed to fence the members of a group. */
 export interface FencingServices {
+  /** Region of each failure domain; undefined if none is known. */
+  readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
   readonly clock: Clock;
   readonly view: FleetView;
   readonly control: MemberControl;
@@ -81,12 +84,12 @@
       id !== previous && holderPresence.wasUp(holder);
     let targets = [...listed, ...createUnlistedTargets(departed.filter(isReplicaUp))];
     let fenced = await this.fenceTargets(targets, departed, previous);
-    let plan = planPromotion(fenced.members, syncReplicas);
+    let plan = planPromotion(this.setDistances(fenced.members), syncReplicas);
     const unlisted = createUnlistedTargets(departed);
     if (plan.kind === 'wait' && listed.length + unlisted.length > targets.length) {
       targets = [...listed, ...unlisted];
       fenced = await this.fenceTargets(targets, departed, previous);
-      plan = planPromotion(fenced.members, syncReplicas);
+      plan = planPromotion(this.setDistances(fenced.members), syncReplicas);
     } else if (plan.kind === 'promote') {
       this.demoteUnlisted(departed, previous, fenced.term);
     }
@@ -158,6 +161,14 @@
     return status !== undefined && status.heldTerm >= term ? status.received : undefined;
   }
 
+  /** Sets the members' distances, by which those in regions that more routes allow are preferred. */
+  private setDistances(members: readonly FencedMember[]): FencedMember[] {
+    return members.map((member) => ({
+      ...member,
+      distance: computeRegionDistance(this.services, this.group, member.id),
+    }));
+  }
+
   private listDeparted(): DepartedHolder[] {
     const { view } = this.services;
     const record = view.primaries.get(this.group)?.value;
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -32,6 +32,8 @@
   readonly promotions: PromotionPort;
   readonly hub: PeerHub;
   readonly memberRegistry: MemberRegistry;
+  /** Region of each failure domain; undefined if none is known. */
+  readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
   /** What is known of commit holders that are no longer listed. */
   readonly holderPresence: HolderPresenceTracker;
   /**
@@ -42,7 +44,13 @@
 }
 
 /** Why a primary is replaced; `resumed` continues a change that an earlier attempt left open. */
-export type PrimaryChangeReason = 'draining' | 'unreachable' | 'missing' | 'resumed';
+export type PrimaryChangeReason =
+  | 'draining'
+  | 'unreachable'
+  | 'missing'
+  | 'resumed'
+  /** Another member is in a region that more routes of the group allow. */
+  | 'misplaced';
 
 /** One attempt to change the primary of one group. */
 export class PrimaryChange {
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -16,6 +16,7 @@
 import type { MemberStatus } from '../ports/member-protocol.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
+import { MisplacementCheck } from './misplacement-check.js';
 import {
   type PrimaryChangeReason,
   type PrimaryChangeServices,
@@ -62,6 +63,8 @@
 
   private readonly commitHolderTracker: CommitHolderTracker;
 
+  private readonly misplacement: MisplacementCheck;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -70,6 +73,7 @@
     private readonly metrics: GatewayMetrics,
   ) {
     this.commitHolderTracker = new CommitHolderTracker(services);
+    this.misplacement = new MisplacementCheck(services);
     hub.handle('primary.suspend', ({ group, epoch }) => {
       services.memberRegistry.primaryTracker.suspend(toBrand<GroupId>(group), epoch);
       return { kind: 'done' };
@@ -101,6 +105,7 @@
     if (!lease.isHeld) {
       this.missingSince.clear();
       this.drainingSince.clear();
+      this.misplacement.clear();
     }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
@@ -172,7 +177,9 @@
       .listMembers(group)
       .some(({ id, isDraining }) => id !== member && !isDraining);
     if (entry.isDraining && mayReplace && (await this.mayStepDown(group, entry))) return 'draining';
-    if (!this.suspicions.isSuspected(group, member, now)) return undefined;
+    if (!this.suspicions.isSuspected(group, member, now)) {
+      return (await this.misplacement.needsSwitchover(group, entry)) ? 'misplaced' : undefined;
+    }
     const observers = chooseObservers(member, view.listDomains().values());
     const [status] = await Promise.all([
       control.sendCommand(entry, { kind: 'status' }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { FleetViewUpdater } from './fleet/fleet-view-updater.js';
 import { FleetView } from './fleet/fleet-view.js';
 import { InstanceRegistration } from './fleet/instance-registration.js';
+import { logUnknownRegions } from './fleet/unknown-regions.js';
 import { RelayServer } from './fleet/relay-server.js';
 import { RelayedSource } from './fleet/relayed-source.js';
 import { RateShareAllocator } from './fleet/rate-share-allocator.js';
@@ -97,7 +98,7 @@
     const confirmation = new ConfirmationTracker(confirmationLimits);
     const { store, directory, promotions, members } = ports;
     this.view = new FleetView(directory, confirmation, log);
-    const hosts = new HostDirectory(instance, this.view, clock);
+    const hosts = new HostDirectory(instance, this.view, clock, settings.regionByDomain);
     this.memberRegistry = new MemberRegistry(
       settings,
       this.view,
@@ -153,6 +154,7 @@
       promotions,
       connector: members,
       memberRegistry: this.memberRegistry,
+      regionByDomain: settings.regionByDomain,
       confirmationTtlMs: confirmationLimits.maxPrimaryAgeMs,
       metrics: this.metrics,
       clock,
@@ -186,7 +188,9 @@
     });
     this.view.onChange(({ settings: settingsChanged, instances: instancesChanged }) => {
       if (settingsChanged || instancesChanged) this.updateRateShares();
+      if (settingsChanged) this.sessionRegistry.checkRegions();
     });
+    logUnknownRegions(this.view, settings.regionByDomain, log);
   }
 
   /** Starts all tasks; callers are accepted at once, and served as soon as settings are known. */
--- a/packages/gateway/src/hosting/host-directory.ts
+++ b/packages/gateway/src/hosting/host-directory.ts
@@ -1,10 +1,12 @@
 import {
+  type AllowedRegions,
   chooseMemberHosts,
   type Clock,
   type ConnectionBudget,
   HostAvailability,
   type HostCandidate,
   type HostRank,
+  hasRegionRestrictions,
   type InstanceId,
   type MemberEntry,
   type MemberId,
@@ -13,6 +15,7 @@
   toMilliseconds,
 } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
+import { RegionDirectory } from '../fleet/region-directory.js';
 
 /**
  * Limits by which a host is taken for unavailable. A round trip between regions takes 24 ms, and a
@@ -41,13 +44,29 @@
 
   private candidatesByDomain: ReadonlyMap<string, readonly HostCandidate[]> | undefined;
 
+  /** Whether any route or organisation has allowed regions. */
+  private hasRestrictions = false;
+
+  /** Regions of members and instances. */
+  readonly regions: RegionDirectory;
+
+  /**
+   * @param self - this instance
+   * @param view - this instance's copy of the store
+   * @param clock - source of time
+   * @param regionByDomain - region of each failure domain; without it, no member or other instance is in
+   * an allowed region
+   */
   constructor(
     private readonly self: InstanceId,
     private readonly view: FleetView,
     private readonly clock: Clock,
+    regionByDomain: ReadonlyMap<string, string> = new Map(),
   ) {
-    view.onChange(({ instances, members }) => {
+    this.regions = new RegionDirectory(regionByDomain, view);
+    view.onChange(({ instances, members, settings }) => {
       if (members) this.removeUnlistedMembers();
+      if (settings) this.applySettings();
       if (!instances) return;
       this.candidatesByDomain = undefined;
       this.hostsByMember.clear();
@@ -59,11 +78,16 @@
    * Finds the instance that runs statements at a member now.
    *
    * @param entry - the member
-   * @returns this instance or another one; this instance if it reaches neither host nor standby
+   * @param allowed - regions whose instances may get the statement; undefined for all
+   * @returns this instance or another one; this instance if it may use neither host nor standby
    */
-  findHost(entry: MemberEntry): InstanceId {
+  findHost(entry: MemberEntry, allowed?: AllowedRegions): InstanceId {
     const now = this.clock.now();
-    const available = this.listHosts(entry).find((host) => this.mayUse(host, entry.id, now));
+    const available = this.listHosts(entry).find(
+      (host) =>
+        this.mayUse(host, entry.id, now) &&
+        (host === this.self || this.regions.mayReachInstance(host, allowed)),
+    );
     return available ?? this.self;
   }
 
@@ -93,7 +117,7 @@
   listHosts(entry: MemberEntry): readonly InstanceId[] {
     const known = this.hostsByMember.get(entry.id);
     if (known !== undefined) return known;
-    const hosts = chooseMemberHosts(entry.id, this.listCandidates(entry.failureDomain));
+    const hosts = chooseMemberHosts(entry.id, this.listCandidates(entry));
     this.hostsByMember.set(entry.id, hosts);
     return hosts;
   }
@@ -111,12 +135,30 @@
     return host === this.self || this.availability.isAvailable(host, now);
   }
 
-  /** @returns the instances in a failure domain, or all instances if that domain has none */
-  private listCandidates(failureDomain: string): readonly HostCandidate[] {
+  /**
+   * Lists the instances that may host a member: those in its failure domain, or all if that domain has
+   * none. Where allowed regions are in use, those of the member's region come before all, since they may
+   * run every statement that the member may.
+   */
+  private listCandidates({ failureDomain }: MemberEntry): readonly HostCandidate[] {
     this.candidatesByDomain ??= this.groupCandidates();
-    return (
-      this.candidatesByDomain.get(failureDomain) ?? [...this.candidatesByDomain.values()].flat()
-    );
+    const inDomain = this.candidatesByDomain.get(failureDomain);
+    if (inDomain !== undefined) return inDomain;
+    const domains = [...this.candidatesByDomain];
+    const region = this.regions.findRegion(failureDomain);
+    const inRegion =
+      this.hasRestrictions && region !== undefined
+        ? domains.filter(([domain]) => this.regions.findRegion(domain) === region)
+        : [];
+    return (inRegion.length > 0 ? inRegion : domains).flatMap(([, candidates]) => candidates);
+  }
+
+  private applySettings(): void {
+    const { settings } = this.view;
+    const hasRestrictions = settings !== undefined && hasRegionRestrictions(settings);
+    if (hasRestrictions === this.hasRestrictions) return;
+    this.hasRestrictions = hasRestrictions;
+    this.hostsByMember.clear();
   }
 
   private groupCandidates(): ReadonlyMap<string, readonly HostCandidate[]> {
--- a/packages/gateway/src/hosting/member-access-router.ts
+++ b/packages/gateway/src/hosting/member-access-router.ts
@@ -88,8 +88,11 @@
     for (;;) {
       const entry = this.memberRegistry.findEntry(member);
       if (entry === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
+      if (!this.directory.regions.mayReachMember(entry, request.allowedRegions)) {
+        return createRefusal('closed', 'busy', 'the member is outside the allowed regions');
+      }
       const remaining = { ...request, timeoutMs: deadline - this.clock.now() };
-      const host = this.directory.findHost(entry);
+      const host = this.directory.findHost(entry, request.allowedRegions);
       if (host === this.self) return call(this.local, remaining);
       const result = await call(this.getRemote(host), remaining);
       if (result.kind !== 'refused' || !this.mayServeElsewhere(result, credentials)) return result;
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -1,4 +1,4 @@
-import type { MemberId, TermPosition } from '@heatherledge/core';
+import type { AllowedRegions, InstanceId, MemberId, TermPosition } from '@heatherledge/core';
 import type { AcquireFailure } from '../members/connection-wait-queue.js';
 import type { ExchangeResult } from '../members/member-connection.js';
 import type { MemberStatement } from '../ports/member-protocol.js';
@@ -19,6 +19,8 @@
   readonly priority: number;
   /** Log position that a replica must have reached; undefined at the primary. */
   readonly waitFor: TermPosition | undefined;
+  /** Regions whose instances may get the request; undefined for all. Hosts do not receive it. */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
 /** A statement outside transactions. */
@@ -65,6 +67,8 @@
 
 /** A transaction that is open at a member, with the connection that it holds. */
 export interface MemberTransaction {
+  /** The other instance that runs its statements; undefined if this instance does. */
+  readonly host?: InstanceId | undefined;
   /**
    * Runs a statement of the transaction, or its commit.
    *
--- a/packages/gateway/src/hosting/remote-member-access.ts
+++ b/packages/gateway/src/hosting/remote-member-access.ts
@@ -98,7 +98,7 @@
       isEnded = true;
       this.hub.send(this.host, { kind: 'transaction.end', transaction });
     };
-    return { run, end };
+    return { host: this.host, run, end };
   }
 
   private async exchange(
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -72,7 +72,7 @@
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
     readonly connector: MemberConnector,
-    private readonly hosts: HostDirectory,
+    readonly hosts: HostDirectory,
     private readonly clock: Clock,
     private readonly metrics: GatewayMetrics,
     private readonly log: EventLog,
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -53,6 +53,13 @@
     registers: [this.registry],
   });
 
+  readonly homeRefusals = new Counter({
+    name: 'heatherledge_gateway_home_refusals_total',
+    help: 'Operations refused or aborted because of their allowed regions, by reason.',
+    labelNames: ['reason'] as const,
+    registers: [this.registry],
+  });
+
   readonly storeEra = new Gauge({
     name: 'heatherledge_gateway_store_era',
     help: 'Era of the store whose contents this instance holds; rises when the store returns from an older copy.',
--- a/packages/gateway/src/sessions/admission.ts
+++ b/packages/gateway/src/sessions/admission.ts
@@ -1,4 +1,11 @@
-import { type KeyDigest, type OrganisationId, ProxyError, type Route } from '@heatherledge/core';
+import {
+  type AllowedRegions,
+  type KeyDigest,
+  type OrganisationId,
+  ProxyError,
+  resolveAllowedRegions,
+  type Route,
+} from '@heatherledge/core';
 import type { LimitsTask } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { WireError } from '../ports/caller-protocol.js';
@@ -65,9 +72,26 @@
     if (organisation === undefined && !route.isPublic) {
       return { code: 'key-rejected', text: 'the key is not valid' };
     }
-    const grant = { route, organisation, key };
+    const grant = this.createGrant(route, key, organisation);
     const refusalCode = this.services.grantChecker.findRefusal(grant);
     if (refusalCode === undefined) return grant;
     return { code: refusalCode, text: 'this instance cannot check the key now' };
   }
+
+  /** Creates a grant whose allowed regions follow changes of the settings while it is in use. */
+  private createGrant(
+    route: Route,
+    key: KeyDigest | undefined,
+    organisation: OrganisationId | undefined,
+  ): Grant {
+    const { view } = this.services;
+    return {
+      route,
+      organisation,
+      key,
+      get allowedRegions(): AllowedRegions | undefined {
+        return view.settings && resolveAllowedRegions(view.settings, route, organisation);
+      },
+    };
+  }
 }
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -115,6 +115,14 @@
     this.transaction?.abort('the instance is stopping');
   }
 
+  /**
+   * Rolls back an open transaction that changed allowed regions do not permit any more. A statement that is
+   * under way ends first; the next one is refused.
+   */
+  checkRegions(): void {
+    if (!this.isRunning) this.transaction?.checkRegions();
+  }
+
   private async handleQueue(): Promise<void> {
     this.isRunning = true;
     while (this.queue.length > 0 && !this.isClosed) {
--- a/packages/gateway/src/sessions/grants.ts
+++ b/packages/gateway/src/sessions/grants.ts
@@ -1,4 +1,4 @@
-import type { KeyDigest, OrganisationId, Route } from '@heatherledge/core';
+import type { AllowedRegions, KeyDigest, OrganisationId, Route } from '@heatherledge/core';
 import type { ErrorCode } from '../ports/caller-protocol.js';
 
 /** In whose name a statement runs. */
@@ -11,6 +11,11 @@
 /** Permission of a caller to run statements on a route. */
 export interface Grant extends Credentials {
   readonly route: Route;
+  /**
+   * Regions whose members and instances may get the statements, resolved from the newest settings at each
+   * access; undefined without a restriction.
+   */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
 /** Checks whether a caller may still run statements. */
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -4,6 +4,7 @@
 import type { ExchangeResult } from '../members/member-connection.js';
 import type { ErrorCode, StatementReply } from '../ports/caller-protocol.js';
 import type { Grant } from './grants.js';
+import { findRegionRefusal, listAllowedReaders } from './region-rules.js';
 import {
   type CallerState,
   createConnectionRequest,
@@ -117,8 +118,11 @@
       ),
       tried,
     };
+    const access = requirements.needsPrimary ? 'primary' : 'any';
+    const refusal = findRegionRefusal(this.services, grant, access);
+    if (refusal !== undefined) return { kind: 'final', ...refusal };
     const placement = chooseReadMember(
-      memberRegistry.listReaders(route.group),
+      listAllowedReaders(memberRegistry, grant),
       requirements,
       clock.now(),
     );
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -79,7 +79,7 @@
  */
 export function createConnectionRequest(
   { member, waitFor }: ReadPlacement,
-  { organisation, key, route }: Grant,
+  { organisation, key, route, allowedRegions }: Grant,
   session: SessionState,
   timeoutMs: number,
 ): ConnectionRequest {
@@ -91,5 +91,6 @@
     maxEstimatedWaitMs: route.targetLatencyMs * MAX_ESTIMATED_WAIT_RATIO,
     priority: route.priority,
     waitFor,
+    allowedRegions,
   };
 }
--- a/packages/gateway/src/sessions/session-registry.ts
+++ b/packages/gateway/src/sessions/session-registry.ts
@@ -45,6 +45,11 @@
     return session;
   }
 
+  /** Rolls back open transactions that changed allowed regions do not permit any more. */
+  checkRegions(): void {
+    for (const session of this.sessions) session.checkRegions();
+  }
+
   /**
    * Closes the sessions as they become idle, and rolls back transactions that stay open too long.
    *
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -9,6 +9,12 @@
 import type { ExchangeResult } from '../members/member-connection.js';
 import type { StatementReply, WireError } from '../ports/caller-protocol.js';
 import type { Grant } from './grants.js';
+import {
+  findRegionRefusal,
+  findTransactionRefusal,
+  listAllowedReaders,
+  mayReachMember,
+} from './region-rules.js';
 import {
   type CallerState,
   createConnectionRequest,
@@ -26,6 +32,8 @@
 export class Transaction {
   private memberTransaction: MemberTransaction | undefined;
 
+  private member: MemberId | undefined;
+
   private failure: WireError | undefined;
 
   /** Resolves when the transaction has begun or failed to begin. */
@@ -129,6 +137,14 @@
     this.rollback();
   }
 
+  /** Rolls back if the allowed regions have changed and leave out the member or its host. */
+  checkRegions(): void {
+    if (this.member === undefined || this.isEnded) return;
+    const host = this.memberTransaction?.host;
+    const refusal = findTransactionRefusal(this.services, this.grant, this.member, host);
+    if (refusal !== undefined) this.abort(refusal.text);
+  }
+
   /** @returns the reply to a statement after the transaction has failed */
   createFailureReply(): StatementReply {
     const { code, text } = this.failure ?? {
@@ -144,6 +160,12 @@
     const tried = new Set<MemberId>();
     let failure: WireError = { code: 'busy', text: 'no member can begin a transaction' };
     while (clock.now() < deadline && !this.isEnded) {
+      const access = this.isReadOnly ? 'any' : 'primary';
+      const refusal = findRegionRefusal(this.services, this.grant, access);
+      if (refusal !== undefined) {
+        failure = refusal;
+        break;
+      }
       const result = await this.attemptBegin(tried, deadline);
       if (result === undefined) return;
       failure = result;
@@ -175,6 +197,7 @@
     switch (result.kind) {
       case 'open':
         this.memberTransaction = result.transaction;
+        this.member = member;
         return undefined;
       case 'refused':
         return this.handleRefusal(result, member);
@@ -209,14 +232,17 @@
         tried,
       };
       const placement = chooseReadMember(
-        memberRegistry.listReaders(route.group),
+        listAllowedReaders(memberRegistry, this.grant),
         requirements,
         clock.now(),
       );
       if (placement !== undefined) return placement;
     }
     const member = await memberRegistry.primaryTracker.waitFor(route.group, deadline - clock.now());
-    return member === undefined ? undefined : { member, waitFor: undefined };
+    if (member === undefined || !mayReachMember(memberRegistry, this.grant, member)) {
+      return undefined;
+    }
+    return { member, waitFor: undefined };
   }
 
   private async runStatement(
@@ -227,8 +253,9 @@
     const { clock, grantChecker } = this.services;
     const memberTransaction = this.memberTransaction as MemberTransaction;
     for (;;) {
+      this.checkRegions();
       // If the caller disconnects during the delay, other sessions may use the connection already.
-      if (this.isEnded) return this.fail('aborted', 'the transaction was rolled back');
+      if (this.isEnded) return this.fail('aborted', this.failure?.text ?? 'rolled back');
       const code = grantChecker.findRefusal(this.grant);
       if (code !== undefined) return this.fail(code, 'the key is not known to be valid');
       const remainingMs = deadline - clock.now();
--- a/packages/gateway/src/sessions/write-executor.ts
+++ b/packages/gateway/src/sessions/write-executor.ts
@@ -1,8 +1,9 @@
 import { delay } from '@heatherledge/daemon';
 import type { AccessRefusal, RefusalReason } from '../hosting/member-access.js';
 import type { ExchangeResult } from '../members/member-connection.js';
-import type { StatementReply } from '../ports/caller-protocol.js';
+import type { StatementReply, WireError } from '../ports/caller-protocol.js';
 import type { Grant } from './grants.js';
+import { findRegionRefusal } from './region-rules.js';
 import {
   type CallerState,
   createConnectionRequest,
@@ -57,8 +58,12 @@
   ): Promise<{ readonly isFinal: boolean; readonly reply: StatementReply }> {
     const { clock, memberRegistry, memberAccess } = this.services;
     const { group } = grant.route;
+    const earlyRefusal = findRegionRefusal(this.services, grant, 'primary');
+    if (earlyRefusal !== undefined) return createFinalRefusal(earlyRefusal);
     const member = await memberRegistry.primaryTracker.waitFor(group, deadline - clock.now());
     if (member === undefined) return createRetryableRefusal('no primary is known');
+    const refusal = findRegionRefusal(this.services, grant, 'primary');
+    if (refusal !== undefined) return createFinalRefusal(refusal);
     const placement = { member, waitFor: undefined };
     const request = createConnectionRequest(placement, grant, state, deadline - clock.now());
     const result = await memberAccess.run({ ...request, access: 'write', statement });
@@ -86,6 +91,13 @@
   }
 }
 
+function createFinalRefusal({ code, text }: WireError): {
+  readonly isFinal: boolean;
+  readonly reply: StatementReply;
+} {
+  return { isFinal: true, reply: createErrorReply(code, text, 'idle') };
+}
+
 function createRetryableRefusal(text: string): {
   readonly isFinal: boolean;
   readonly reply: StatementReply;
--- a/packages/gateway/test/units/member-registry.test.ts
+++ b/packages/gateway/test/units/member-registry.test.ts
@@ -92,7 +92,7 @@
   it('recomputes pool limits once for many instances that join together', () => {
     const organisations = new CountingOrganisations();
     for (let number = 0; number < ORGANISATION_COUNT; number += 1) {
-      organisations.set(toBrand<OrganisationId>(`o${number}`), undefined as never);
+      organisations.set(toBrand<OrganisationId>(`o${number}`), {} as never);
     }
     const directory: FleetDirectory = {
       settingsKey: 'settings',
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -67,7 +67,7 @@
       clock,
       hub,
       view: {
-        settings: { groups: new Map([[GROUP, { id: GROUP }]]) },
+        settings: { groups: new Map([[GROUP, { id: GROUP }]]), routesByDatabase: new Map() },
         era: 1,
         get coordinator() {
           return { value: { instance: coordinator } };
