Sample primaries for restricted reads that must not reach them

Cause: replicas serve reads of a stated age only by a sample of the primary's log, and samples come from the primary's replies. Where every request excludes the primary's region there were none, and all reads were refused ("no member is known to hold recent data").

--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -125,4 +125,8 @@
   /** Requests a check whether the receiving instance can reach a member. */
   z.object({ kind: z.literal('member.probe'), member: z.string() }),
   z.object({ kind: z.literal('member.probed'), isAlive: z.boolean() }),
+  /** Requests the log position of a primary that the receiving instance hosts. */
+  z.object({ kind: z.literal('primary.sample'), member: z.string() }),
+  /** Response to `primary.sample`; the primary held the position `ageMs` before the response. */
+  z.object({ kind: z.literal('primary.sampled'), mark: logMark, ageMs: z.number() }),
 ] as const;
--- a/packages/gateway/src/failover/failover-tasks.ts
+++ b/packages/gateway/src/failover/failover-tasks.ts
@@ -2,6 +2,7 @@
 import type { PeerHub } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { MemberRegistry } from '../members/member-registry.js';
+import { PrimarySampler } from '../members/primary-sampler.js';
 import type { ControlStore } from '../ports/control-store.js';
 import type { PromotionPort } from '../ports/fleet-directory.js';
 import type { MemberConnector } from '../ports/member-protocol.js';
@@ -45,6 +46,9 @@
 
   private readonly recovery: EraRecovery;
 
+  /** Samples primaries for reads that must not reach them. */
+  readonly primarySampler: PrimarySampler;
+
   constructor(services: FailoverServices) {
     const { self, hub, view, store, promotions, connector, memberRegistry } = services;
     const { confirmationTtlMs, regionByDomain, metrics, clock, random, log } = services;
@@ -68,6 +72,7 @@
       hub,
       metrics,
     );
+    this.primarySampler = new PrimarySampler({ self, hub, clock, control, memberRegistry });
     this.sweeper = new InstanceSweeper(self, hub, view, store, lease, clock, log);
     const recall = new RecordRecall({ self, hub, view, lease, primaryTracker, clock });
     this.recovery = new EraRecovery({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -179,6 +179,7 @@
       clock,
       memberRegistry: this.memberRegistry,
       memberAccess: this.hosting.access,
+      primarySampler: this.failover.primarySampler,
       grantChecker,
       metrics: this.metrics,
       log,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export * from './members/pool-listener.js';
 export * from './members/prepared-names.js';
 export * from './members/prepared-statement.js';
+export * from './members/primary-sampler.js';
 export * from './members/primary-tracker.js';
 export * from './members/sample-exchange.js';
 export * from './members/connection-wait-queue.js';
--- a/packages/gateway/src/sessions/read-executor.ts
+++ b/packages/gateway/src/sessions/read-executor.ts
@@ -122,7 +122,7 @@
     const refusal = findRegionRefusal(this.services, grant, access);
     if (refusal !== undefined) return { kind: 'final', ...refusal };
     const placement = chooseReadMember(
-      listAllowedReaders(memberRegistry, grant),
+      listAllowedReaders(this.services, grant),
       requirements,
       clock.now(),
     );
--- a/packages/gateway/src/sessions/region-rules.ts
+++ b/packages/gateway/src/sessions/region-rules.ts
@@ -46,13 +46,21 @@
   return { code: 'busy', text: TEXT_BY_REASON[reason] };
 }
 
-/** Lists the members of the grant's group that may serve its reads, without those in other regions. */
+/**
+ * Lists the members of the grant's group that may serve its reads, without those in other regions. If the
+ * primary is among those, a sample of its log is requested, without which replicas could not serve.
+ */
 export function listAllowedReaders(
-  memberRegistry: MemberRegistry,
+  { memberRegistry, primarySampler }: Pick<SessionServices, 'memberRegistry' | 'primarySampler'>,
   grant: Grant,
 ): readonly ReadMemberState[] {
   const readers = memberRegistry.listReaders(grant.route.group);
   if (grant.allowedRegions === undefined) return readers;
+  const { group } = grant.route;
+  const primary = memberRegistry.primaryTracker.find(group);
+  if (primary !== undefined && !mayReachMember(memberRegistry, grant, primary)) {
+    primarySampler.request(group);
+  }
   return readers.filter(({ id }) => mayReachMember(memberRegistry, grant, id));
 }
 
--- a/packages/gateway/src/sessions/session-context.ts
+++ b/packages/gateway/src/sessions/session-context.ts
@@ -4,6 +4,7 @@
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { PreparedStatement } from '../members/prepared-statement.js';
 import type { MemberRegistry } from '../members/member-registry.js';
+import type { PrimarySampler } from '../members/primary-sampler.js';
 import type {
   Access,
   ErrorCode,
@@ -33,6 +34,7 @@
   readonly clock: Clock;
   readonly memberRegistry: MemberRegistry;
   readonly memberAccess: MemberAccess;
+  readonly primarySampler: Pick<PrimarySampler, 'request'>;
   readonly grantChecker: GrantChecker;
   readonly metrics: GatewayMetrics;
   readonly log: EventLog;
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -232,7 +232,7 @@
         tried,
       };
       const placement = chooseReadMember(
-        listAllowedReaders(memberRegistry, this.grant),
+        listAllowedReaders(this.services, this.grant),
         requirements,
         clock.now(),
       );
--- a/packages/gateway/test/hosting/allowed-regions.test.ts
+++ b/packages/gateway/test/hosting/allowed-regions.test.ts
@@ -96,12 +96,19 @@
 
   /** Guards against the fallback to all instances, most of which are in other regions. */
   it('are none in another region if the failure domain of the member has no instance', async () => {
-    expect((await run(NORTH)).kind).toBe('answered');
-    expect(
-      (await router.begin({ ...createStatementRequest(), readOnly: false, allowedRegions: NORTH }))
-        .kind,
-    ).not.toBe('refused');
-    expect(receivers).toEqual(['local', 'local']);
+    for (let number = 1; number <= 9; number += 1) {
+      entry = createRegionMember(`m${number}`, 'north-1');
+      expect((await run(NORTH)).kind).toBe('answered');
+      const request = { ...createStatementRequest(), readOnly: false, allowedRegions: NORTH };
+      expect((await router.begin(request)).kind).not.toBe('refused');
+    }
+    expect(new Set(receivers)).toEqual(new Set(['local']));
+    // Without a restriction, other instances are hosts of some of these members.
+    for (let number = 1; number <= 9; number += 1) {
+      entry = createRegionMember(`m${number}`, 'north-1');
+      await run(undefined);
+    }
+    expect(new Set(receivers)).toEqual(new Set(['local', 's2', 's3']));
   });
 
   /** Guards against hosts that only own connections can replace, although the region has instances. */
--- a/packages/gateway/test/units/region-rules.test.ts
+++ b/packages/gateway/test/units/region-rules.test.ts
@@ -19,6 +19,15 @@
       expect(session.requests[0]?.allowedRegions).toEqual(new Set(['north']));
     });
 
+    /** Guards against replicas that cannot serve, as no reply of the primary elsewhere shows its log. */
+    it('have the primary sampled only if it is elsewhere', async () => {
+      await session.read(session.restrict(['south']));
+      await session.read(session.restrict(undefined));
+      expect(session.sampledGroups).toEqual([]);
+      await session.read(session.restrict(['north']));
+      expect(session.sampledGroups).toEqual(['g']);
+    });
+
     /** Guards against leaving the allowed regions for a member that works. */
     it.each(['lagging', 'failed', 'timeout', 'busy'] as const)(
       'stay there when every attempt ends as %s',
