--- a/packages/gateway/src/failover/failover-tasks.ts
+++ b/packages/gateway/src/failover/failover-tasks.ts
@@ -2,6 +2,7 @@
 import type { PeerHub } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { MemberRegistry } from '../members/member-registry.js';
+import { PrimarySampler } from '../members/primary-sampler.js';
 import type { ControlStore } from '../ports/control-store.js';
 import type { PromotionPort } from '../ports/fleet-directory.js';
 import type { MemberConnector } from '../ports/member-protocol.js';
@@ -23,6 +24,8 @@
   readonly promotions: PromotionPort;
   readonly connector: MemberConnector;
   readonly memberRegistry: MemberRegistry;
+  /** Region of each failure domain. */
+  readonly regionByDomain: ReadonlyMap<string, string>;
   /** How long an instance relies on a confirmed record of a primary, in milliseconds. */
   readonly confirmationTtlMs: number;
   readonly metrics: GatewayMetrics;
@@ -43,9 +46,12 @@
 
   private readonly recovery: EraRecovery;
 
+  /** Samples primaries for reads that must not reach them. */
+  readonly primarySampler: PrimarySampler;
+
   constructor(services: FailoverServices) {
     const { self, hub, view, store, promotions, connector, memberRegistry } = services;
-    const { confirmationTtlMs, metrics, clock, random, log } = services;
+    const { confirmationTtlMs, regionByDomain, metrics, clock, random, log } = services;
     const { primaryTracker } = memberRegistry;
     const lease = new CoordinatorLease(self, store, view, clock, random, log);
     const control = new MemberControl(connector, clock, () => [
@@ -60,11 +66,13 @@
         memberRegistry,
         log,
         confirmationTtlMs,
+        regionByDomain,
         holderPresence: new HolderPresenceTracker(),
       },
       hub,
       metrics,
     );
+    this.primarySampler = new PrimarySampler({ self, hub, clock, control, memberRegistry });
     this.sweeper = new InstanceSweeper(self, hub, view, store, lease, clock, log);
     const recall = new RecordRecall({ self, hub, view, lease, primaryTracker, clock });
     this.recovery = new EraRecovery({
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -32,6 +32,8 @@
   readonly promotions: PromotionPort;
   readonly hub: PeerHub;
   readonly memberRegistry: MemberRegistry;
+  /** Region of each failure domain; undefined if none is known. */
+  readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
   /** What is known of commit holders that are no longer listed. */
   readonly holderPresence: HolderPresenceTracker;
   /**
@@ -42,7 +44,17 @@
 }
 
 /** Why a primary is replaced; `resumed` continues a change that an earlier attempt left open. */
-export type PrimaryChangeReason = 'draining' | 'evacuated' | 'unreachable' | 'missing' | 'resumed';
+export type PrimaryChangeReason =
+  | 'draining'
+  | 'evacuated'
+  | 'unreachable'
+  | 'missing'
+  | 'resumed'
+  /** Another member is in a region that more routes of the group allow. */
+  | 'misplaced';
+
+/** A primary that serves is not replaced by a member to which nothing may be sent. */
+const PLANNED_REASONS: ReadonlySet<PrimaryChangeReason> = new Set(['evacuated', 'misplaced']);
 
 /** One attempt to change the primary of one group. */
 export class PrimaryChange {
@@ -74,7 +86,7 @@
       this.suspendPrevious(record.value.epoch),
       new MemberFencing(this.group, this.services).chooseSuccessor(
         previous,
-        reason !== 'evacuated',
+        !PLANNED_REASONS.has(reason),
       ),
     ]);
     const promoted = chosen !== undefined && (await this.promote(chosen));
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -17,6 +17,7 @@
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
 import { EvacuatedPrimaries } from './evacuated-primaries.js';
+import { MisplacementCheck } from './misplacement-check.js';
 import {
   type PrimaryChangeReason,
   type PrimaryChangeServices,
@@ -64,6 +65,7 @@
   private readonly commitHolderTracker: CommitHolderTracker;
 
   private readonly evacuatedPrimaries: EvacuatedPrimaries;
+  private readonly misplacement: MisplacementCheck;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -74,6 +76,7 @@
   ) {
     this.commitHolderTracker = new CommitHolderTracker(services);
     this.evacuatedPrimaries = new EvacuatedPrimaries(services);
+    this.misplacement = new MisplacementCheck(services);
     hub.handle('primary.suspend', ({ group, epoch }) => {
       services.memberRegistry.primaryTracker.suspend(toBrand<GroupId>(group), epoch);
       return { kind: 'done' };
@@ -106,6 +109,7 @@
       this.missingSince.clear();
       this.drainingSince.clear();
       this.evacuatedPrimaries.clear();
+      this.misplacement.clear();
     }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
@@ -178,7 +182,9 @@
       .some(({ id, isDraining }) => id !== member && !isDraining);
     if (entry.isDraining && mayReplace && (await this.mayStepDown(group, entry))) return 'draining';
     if (await this.evacuatedPrimaries.mayReplace(entry)) return 'evacuated';
-    if (!this.suspicions.isSuspected(group, member, now)) return undefined;
+    if (!this.suspicions.isSuspected(group, member, now)) {
+      return (await this.misplacement.needsSwitchover(group, entry)) ? 'misplaced' : undefined;
+    }
     const observers = chooseObservers(member, view.listDomains().values());
     const [status] = await Promise.all([
       control.sendCommand(entry, { kind: 'status' }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { FleetViewUpdater } from './fleet/fleet-view-updater.js';
 import { FleetView } from './fleet/fleet-view.js';
 import { InstanceRegistration } from './fleet/instance-registration.js';
+import { logUnknownRegions } from './fleet/unknown-regions.js';
 import { RelayServer } from './fleet/relay-server.js';
 import { RelayedSource } from './fleet/relayed-source.js';
 import { RateShareAllocator } from './fleet/rate-share-allocator.js';
@@ -99,7 +100,7 @@
     const { maxEvacuationDelayMs } = settings;
     this.view = new FleetView(directory, confirmation, log, clock, maxEvacuationDelayMs);
     this.view.onChange(() => this.metrics.evacuatedDomains.set(this.view.evacuatedDomains.size));
-    const hosts = new HostDirectory(instance, this.view, clock);
+    const hosts = new HostDirectory(instance, this.view, clock, settings.regionByDomain);
     this.memberRegistry = new MemberRegistry(
       settings,
       this.view,
@@ -155,6 +156,7 @@
       promotions,
       connector: members,
       memberRegistry: this.memberRegistry,
+      regionByDomain: settings.regionByDomain,
       confirmationTtlMs: confirmationLimits.maxPrimaryAgeMs,
       metrics: this.metrics,
       clock,
@@ -179,6 +181,7 @@
       clock,
       memberRegistry: this.memberRegistry,
       memberAccess: this.hosting.access,
+      primarySampler: this.failover.primarySampler,
       grantChecker,
       metrics: this.metrics,
       log,
@@ -188,7 +191,9 @@
     });
     this.view.onChange(({ settings: settingsChanged, instances: instancesChanged }) => {
       if (settingsChanged || instancesChanged) this.updateRateShares();
+      if (settingsChanged) this.sessionRegistry.checkRegions();
     });
+    logUnknownRegions(this.view, settings.regionByDomain, log);
   }
 
   /** Starts all tasks; callers are accepted at once, and served as soon as settings are known. */
--- a/packages/gateway/test/units/evacuations.test.ts
+++ b/packages/gateway/test/units/evacuations.test.ts
@@ -96,7 +96,7 @@
     view.apply([{ kind: 'deleted', key: formatRequestKey(domain) }], ERA);
   }
 
-  const listReaders = (): string[] => registry.listReaders(GROUP).map(({ id }) => id);
+  const listReaders = (): string[] => registry.listReaders(GROUP, 1).map(({ id }) => id);
   const listDomains = (): string[] => [...view.evacuatedDomains.keys()].sort();
   const listEvents = (event: string) => lines.filter((line) => line.event === event);
 
@@ -122,7 +122,7 @@
   it('keep their primary for its window, as the last choice for reads', () => {
     load([]);
     request('a');
-    expect(registry.listReaders(GROUP)[0]).toMatchObject({ id: 'a1', isDraining: true });
+    expect(registry.listReaders(GROUP, 1)[0]).toMatchObject({ id: 'a1', isDraining: true });
     clock.advance(1999);
     expect(findRefusal('a1')).toBeUndefined();
     clock.advance(1);
