Decide in core how many statements a cold member gets

Cause: a member that has just started serves slowly, and receives its full load as soon as it is listed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,6 +48,8 @@
 export * from './hosting/host-availability.js';
 export * from './hosting/member-load.js';
 export * from './hosting/member-slot-queue.js';
+export * from './hosting/member-warmup.js';
+export * from './hosting/warmup-budget.js';
 export * from './failover/choose-observers.js';
 export * from './serving/call-pacer.js';
 export * from './failover/claim-delay.js';
--- a/packages/core/src/serving/choose-read-member.ts
+++ b/packages/core/src/serving/choose-read-member.ts
@@ -19,6 +19,8 @@
   readonly laggingUntil: Milliseconds;
   /** Fraction of the recent statements that failed at the member, 0 to 1. */
   readonly failureRatio: number;
+  /** Whether the member started recently, and accepts only few statements. */
+  readonly isCold?: boolean | undefined;
 }
 
 /** The member chosen for a read, and the log position that it has to reach first. */
@@ -50,6 +52,12 @@
 const DRAINING_PENALTY = 1000;
 /** A member that failed recently, or probably lags, is used only if no other member is left. */
 const AVOIDED_PENALTY = 100;
+/**
+ * Cost of a cold member: about the longest queue that a member accepts (0.7 of an objective of 400 ms,
+ * in pending statements), so that a cold one is used once the warm ones are full. It is below that of
+ * a member that failed or lags, which would probably refuse.
+ */
+const COLD_PENALTY = 60;
 /** A member already tried for this read is used only after every other one. */
 const TRIED_PENALTY = 300;
 /**
@@ -116,6 +124,7 @@
   if (member.isPrimary) cost += PRIMARY_PENALTY;
   else if (isLikelyLagging(member, waitFor, now)) cost += AVOIDED_PENALTY;
   if (member.isDraining) cost += DRAINING_PENALTY;
+  if (member.isCold === true) cost += COLD_PENALTY;
   if (member.avoidUntil > now) cost += AVOIDED_PENALTY;
   if (requirements.tried.has(member.id)) cost += TRIED_PENALTY;
   return cost;
