Hold statements to cold members to their pace at the instance that sends them

Cause: nothing in the path of a statement knew that its member had just started. Change: MemberWarmups holds the cold states and budgets of an instance; WarmupGate refuses at arrival what would get its token too late, and takes the token once the connection is there, so that a queue in front of it cannot bunch statements. BEGIN, statements of transactions and rollbacks use tokens too. A pool reports when its last connection has failed, since a restarted member is reachable before its entry arrives. Pools serve their waiting requests before one holds its connection for a token.

--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,10 +1,12 @@
 import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
+import { delay } from '@heatherledge/daemon';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
 import type { SlotGate, SlotResult } from './slot-gate.js';
+import type { WarmupGate } from './warmup-gate.js';
 import {
   type AccessRefusal,
   type BeginRequest,
@@ -50,12 +52,15 @@
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly findWeight: WeightLookup,
+    private readonly warmupGate?: WarmupGate,
   ) {}
 
   async run(request: StatementRequest): Promise<StatementResult> {
     const startedAt = this.clock.now();
     const gate = this.memberRegistry.findSlotGate(request.member);
     if (gate === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
+    const coldRefusal = this.warmupGate?.findRefusal(request);
+    if (coldRefusal !== undefined) return coldRefusal;
     const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
     const { organisation } = credentials;
     const weight = this.findWeight(organisation);
@@ -76,7 +81,9 @@
 
   async begin(request: BeginRequest): Promise<BeginResult> {
     const startedAt = this.clock.now();
-    const acquired = await this.acquire(request, 'confirmed');
+    const acquired =
+      this.warmupGate?.findRefusal(request) ??
+      (await this.acquire(request, 'confirmed', startedAt + request.timeoutMs));
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
     const result = await connection.exchangeInSession(
@@ -87,7 +94,14 @@
     if (result.kind === 'answered' && result.reply.error === undefined) {
       const gate = this.memberRegistry.findSlotGate(request.member);
       const weight = this.findWeight(request.credentials.organisation);
-      const transaction = new LocalMemberTransaction(pool, connection, gate, request, weight);
+      const transaction = new LocalMemberTransaction(
+        pool,
+        connection,
+        gate,
+        request,
+        weight,
+        this.warmupGate,
+      );
       return { kind: 'open', transaction };
     }
     pool.release(connection);
@@ -109,7 +123,8 @@
     const check = request.access === 'read' ? 'confirmed' : 'known';
     const remainingMs = request.timeoutMs - (this.clock.now() - startedAt);
     const timeoutMs = Math.min(MAX_CONNECTION_WAIT_IN_SLOT_MS, remainingMs);
-    const acquired = await this.acquire({ ...request, timeoutMs }, check);
+    const deadline = startedAt + request.timeoutMs;
+    const acquired = await this.acquire({ ...request, timeoutMs }, check, deadline);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
     const result = await connection.runInSession(
@@ -125,6 +140,7 @@
   private async acquire(
     request: ConnectionRequest,
     check: PrimaryCheck,
+    deadline: number,
   ): Promise<
     | {
         readonly kind: 'acquired';
@@ -147,7 +163,10 @@
     });
     if (acquired.kind === 'refused') return createRefusal(acquired.reason);
     const { connection } = acquired;
-    const refusal = this.findRefusal(request, check);
+    const maxTokenWaitMs = Math.min(deadline - this.clock.now(), maxEstimatedWaitMs);
+    const token = this.warmupGate?.take(request, connection, maxTokenWaitMs) ?? 0;
+    if (typeof token === 'number' && token > 0) await waitForToken(pool, token);
+    const refusal = typeof token === 'number' ? this.findRefusal(request, check) : token;
     if (refusal === undefined) return { kind: 'acquired', pool, connection };
     pool.release(connection);
     return refusal;
@@ -171,6 +190,12 @@
   }
 }
 
+/** Waits for the token of a cold member; others get connections of the pool in the meantime. */
+async function waitForToken(pool: MemberPool, waitMs: number): Promise<void> {
+  pool.serveQueue();
+  await delay(waitMs);
+}
+
 /** Statements of open transactions run before those that have not begun, which hold nothing. */
 const OPEN_TRANSACTION_PRIORITY = -1;
 
@@ -184,6 +209,7 @@
     private readonly gate: SlotGate | undefined,
     private readonly request: BeginRequest,
     private readonly weight: number,
+    private readonly warmupGate: WarmupGate | undefined,
   ) {}
 
   async run(
@@ -215,11 +241,15 @@
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
   ): Promise<ExchangeResult> {
+    const { member } = this.request;
+    const token = this.warmupGate?.take({ member, values }, this.connection, timeoutMs) ?? 0;
+    if (typeof token !== 'number') return { kind: 'lost', reason: token.text, wasSent: false };
+    if (token > 0) await waitForToken(this.pool, token);
     // Another session may use the connection once the transaction has ended.
     if (this.isEnded) {
       return { kind: 'lost', reason: 'the transaction has ended', wasSent: false };
     }
-    return this.connection.runInSession({ values }, statement, undefined, timeoutMs);
+    return this.connection.runInSession({ values }, statement, undefined, timeoutMs - token);
   }
 
   end(): void {
@@ -231,6 +261,7 @@
   private async release(): Promise<void> {
     const { pool, connection } = this;
     if (!connection.isClosed && connection.transactionState !== 'idle') {
+      this.warmupGate?.recordRollback(this.request);
       const exchange = await connection.exchange({ kind: 'rollback' }, ROLLBACK_TIMEOUT_MS);
       if (exchange.kind === 'answered' && exchange.reply.state !== 'idle') {
         pool.discard(connection, 'the transaction could not be rolled back');
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -10,20 +10,10 @@
   MemberTarget,
   PrepareCommand,
 } from '../ports/member-protocol.js';
+import type { ExchangeResult } from './exchange-result.js';
 import { PreparedNames } from './prepared-names.js';
 
-/** How a command to a member ended. */
-export type ExchangeResult =
-  | { readonly kind: 'answered'; readonly reply: MemberReply; readonly sentAt: Milliseconds }
-  /** The connection ended or the timeout passed before the reply was complete. */
-  | {
-      readonly kind: 'lost';
-      readonly reason: string;
-      /** False only if the command is certain not to have left this process. */
-      readonly wasSent: boolean;
-      /** Error that the member sent before it closed the connection. */
-      readonly code?: WireError['code'] | undefined;
-    };
+export type { ExchangeResult } from './exchange-result.js';
 
 interface PendingCommand {
   readonly sentAt: Milliseconds;
@@ -62,6 +52,9 @@
 
   isClosed = false;
 
+  /** Whether this instance closed the connection because it was not needed. */
+  isOrderlyClosed = false;
+
   /** State of the transaction in the last reply. */
   transactionState: TransactionState = 'idle';
 
@@ -219,6 +212,7 @@
 
   /** Closes the connection in an orderly way. */
   close(): void {
+    this.isOrderlyClosed = true;
     this.channel.close();
   }
 
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -212,6 +212,7 @@
 
   onOpen(connection: MemberConnection): void {
     this.listener.onConnection('opened');
+    this.listener.onReachable?.(this.entry, true);
     this.lastReplyAt = this.clock.now();
     this.avoidUntil = toMilliseconds(0);
     this.reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
@@ -234,6 +235,9 @@
     this.busy.delete(connection);
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
+    const isAtLimit = error?.code === 'connection-limit';
+    const hasFailed = !connection.isOrderlyClosed && !isAtLimit && !this.isClosed;
+    if (hasFailed && this.size === 0) this.listener.onReachable?.(this.entry, false);
     if (wasOpening) this.handleOpenFailure(error);
     else this.serveQueue();
   }
@@ -282,8 +286,11 @@
     return connection;
   }
 
-  /** Gives idle connections to waiting requests, and opens new ones as far as the limits allow. */
-  private serveQueue(): void {
+  /**
+   * Gives idle connections to waiting requests, and opens new ones as far as the limits allow. Also
+   * called when a request will hold its connection for long: the next release may be far away.
+   */
+  serveQueue(): void {
     if (this.isClosed || this.isServing) return;
     this.isServing = true;
     this.assignConnections();
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -19,7 +19,9 @@
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
+import { isSameEndpoint } from './member-endpoint.js';
 import { MemberPool } from './member-pool.js';
+import { MemberWarmups } from './member-warmups.js';
 import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
@@ -66,6 +68,9 @@
   /** Primaries of the groups and samples of their logs. */
   readonly primaryTracker: PrimaryTracker;
 
+  /** Cold members, and the limits of statements to them. */
+  readonly warmups: MemberWarmups;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -78,6 +83,7 @@
     private readonly log: EventLog,
   ) {
     this.primaryTracker = new PrimaryTracker(view, (member) => this.states.has(member), clock, log);
+    this.warmups = new MemberWarmups({ settings, view, hosts, clock, metrics, log });
     view.onChange(() => this.applyView());
   }
 
@@ -159,6 +165,7 @@
         reportedPosition,
         laggingUntil,
         failureRatio: outcomes.computeFailureRatio(now),
+        isCold: this.warmups.isCold(entry),
       });
     }
     return readers;
@@ -216,6 +223,10 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
+  onReachable(entry: MemberEntry, isReachable: boolean): void {
+    this.warmups.recordReachable(entry, isReachable);
+  }
+
   onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void {
     const { number, organisation } = connection;
     const { name, access, shape } = command;
@@ -246,6 +257,7 @@
 
   /** Recomputes the pools' limits, which depend on the hosts that answer, and closes connections. */
   private runMaintenance(): void {
+    this.warmups.update();
     for (const { entry, limits, pool } of this.states.values()) {
       Object.assign(limits, this.hosts.computeBudget(entry));
       pool.trim();
@@ -260,6 +272,7 @@
       state.pool.close();
     }
     for (const entry of this.view.members.values()) this.setMember(entry);
+    this.warmups.applyView();
     this.primaryTracker.notifyWaiters();
   }
 
@@ -287,13 +300,3 @@
     });
   }
 }
-
-/** @returns whether the connections of one entry's pool can also be used for the other entry */
-function isSameEndpoint(left: MemberEntry, right: MemberEntry): boolean {
-  return (
-    left.host === right.host &&
-    left.port === right.port &&
-    left.incarnation === right.incarnation &&
-    left.group === right.group
-  );
-}
--- a/packages/gateway/src/members/pool-listener.ts
+++ b/packages/gateway/src/members/pool-listener.ts
@@ -7,6 +7,11 @@
   onReply(entry: MemberEntry, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void;
   onUnreachable(entry: MemberEntry, reason: string): void;
   onConnection(outcome: 'opened' | 'refused' | 'failed'): void;
+  /**
+   * The member accepted a connection, or the last one of the pool failed; connections that are closed
+   * because they are not needed do not count.
+   */
+  onReachable?(entry: MemberEntry, isReachable: boolean): void;
   onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void;
 }
 
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -59,6 +59,18 @@
     registers: [this.registry],
   });
 
+  readonly coldMembers = new Gauge({
+    name: 'heatherledge_gateway_cold_members',
+    help: 'Members that started recently and get only a limited number of statements.',
+    registers: [this.registry],
+  });
+
+  readonly coldRefusals = new Counter({
+    name: 'heatherledge_gateway_cold_refusals_total',
+    help: 'Statements refused because a cold member would not get them in time.',
+    registers: [this.registry],
+  });
+
   readonly sessions = new Gauge({
     name: 'heatherledge_gateway_sessions',
     help: 'Callers connected.',
--- /dev/null
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -0,0 +1,250 @@
+import { type MemberEntry, type Milliseconds, toMilliseconds } from '@heatherledge/core';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { MemberWarmups, type StatementResult } from '../../src/index.js';
+import {
+  createRead,
+  MEMBER,
+  PACE,
+  WARMUP,
+  WarmupFleet,
+  type WarmupInstance,
+} from '../fixtures/warmup-fleet.js';
+
+const MAX_PER_SECOND = PACE * 1.5 + 5;
+const WARM: Partial<MemberEntry> = {
+  incarnation: 1,
+  sequence: 1,
+  warmupRemainingMs: toMilliseconds(0),
+};
+const COLD: Partial<MemberEntry> = {
+  incarnation: 2,
+  sequence: 1,
+  warmupRemainingMs: WARMUP.durationMs,
+};
+const NO_VALUES = new Map<string, string>();
+
+/** Statements that each instance of a test sends in a step of 5 ms. */
+const STATEMENTS_PER_STEP = 2;
+
+describe('a cold member', () => {
+  let fleet: WarmupFleet;
+  let results: StatementResult[];
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    fleet = new WarmupFleet(WARMUP);
+    results = [];
+  });
+
+  afterEach(() => {
+    fleet.stop();
+    vi.useRealTimers();
+  });
+
+  function offerLoad(instances: readonly WarmupInstance[]): () => void {
+    return () => {
+      for (const instance of instances) {
+        for (let count = 0; count < STATEMENTS_PER_STEP; count += 1) {
+          void instance.access.run(createRead()).then((result) => results.push(result));
+        }
+      }
+    };
+  }
+
+  /** Finds the host and the standby of the member among instances. */
+  function findHosts(instances: readonly WarmupInstance[]): WarmupInstance[] {
+    const first = instances[0] as WarmupInstance;
+    const entry = first.registry.findEntry(MEMBER) as MemberEntry;
+    const ids = [...fleet.instances.keys()];
+    return first.hosts.listHosts(entry).map((id) => instances[ids.indexOf(id)] as WarmupInstance);
+  }
+
+  function startAll(ids: readonly string[], entry: Partial<MemberEntry>): WarmupInstance[] {
+    return ids.map((id) => fleet.start(id, { instances: ids, entry }));
+  }
+
+  async function advance(ms: number, onStep?: () => void): Promise<void> {
+    await fleet.advance(ms, () => {
+      for (const instance of fleet.instances.values()) instance.confirm();
+      onStep?.();
+    });
+  }
+
+  it('gets no more than its pace under full load (guards against a burst at the return)', async () => {
+    const [host] = startAll(['i0'], WARM) as [WarmupInstance];
+    const load = offerLoad([host]);
+    await advance(3000, load);
+    const before = fleet.arrivals.length;
+    expect(before).toBeGreaterThan(600);
+    fleet.arrivals.length = 0;
+    fleet.breakConnections();
+    fleet.publish({ instances: ['i0'], entry: COLD });
+    await advance(6000, load);
+    expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(PACE);
+    expect(fleet.arrivals.length).toBeGreaterThan(PACE * 5 * 0.8);
+    expect(host.changes).toEqual(['cold']);
+    const refused = results.filter(({ kind }) => kind === 'refused');
+    expect(refused.at(-1)).toMatchObject({ reason: 'overloaded', code: 'busy' });
+    const metrics = await host.metrics.registry.metrics();
+    expect(metrics).toContain('heatherledge_gateway_cold_members 1');
+    expect(metrics).toMatch(/heatherledge_gateway_cold_refusals_total [1-9]/);
+  });
+
+  it('gets its full load again after the warm-up (guards against limits that stay)', async () => {
+    const entry = { ...COLD, warmupRemainingMs: toMilliseconds(1000) };
+    const [host] = startAll(['i0'], entry) as [WarmupInstance];
+    const load = offerLoad([host]);
+    await advance(1500, load);
+    expect(fleet.arrivals.filter(({ at }) => at < 101_000).length).toBeLessThanOrEqual(PACE);
+    expect(fleet.arrivals.length).toBeGreaterThan(100);
+    expect(host.changes).toEqual(['cold', 'warm']);
+  });
+
+  it('gets no more than the limit from a host, a standby and others that all send (guards against shares that each instance takes whole)', async () => {
+    const ids = Array.from({ length: 6 }, (_, index) => `i${index}`);
+    const instances = startAll(ids, COLD);
+    await advance(5000, offerLoad(instances));
+    expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(MAX_PER_SECOND);
+    expect(fleet.arrivals.length).toBeGreaterThan(PACE * 3);
+  });
+
+  it('gets no more than the limit while its host changes in the middle of the warm-up (guards against two hosts at the full share)', async () => {
+    const ids = Array.from({ length: 8 }, (_, index) => `i${index}`);
+    const all = startAll(ids, COLD);
+    const [nextHost, oldHost] = findHosts(all) as [WarmupInstance, WarmupInstance];
+    const nextId = ids[all.indexOf(nextHost)] as string;
+    // The instance that is first in the whole list joins later, and the old host sees it 1.5 s later.
+    const others = ids.filter((id) => id !== nextId);
+    for (const instance of all) instance.publish({ instances: others, entry: COLD });
+    const load = offerLoad(all.filter((instance) => instance !== nextHost));
+    await advance(4000, load);
+    nextHost.publish({ instances: ids, entry: COLD });
+    await advance(1500, offerLoad([nextHost, oldHost]));
+    fleet.publish({ instances: ids, entry: COLD });
+    await advance(4000, offerLoad([nextHost, oldHost]));
+    expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(MAX_PER_SECOND);
+    const lastSecond = fleet.arrivals.filter(({ at }) => at >= fleet.clock.now() - 1000).length;
+    expect(lastSecond).toBeGreaterThanOrEqual(PACE);
+  });
+
+  it('gets a quarter of its pace from a host that the store confirms nothing to (guards against a full share beside its successor)', async () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    await advance(4000);
+    await fleet.advance(6000, offerLoad([host]));
+    const lastSeconds = fleet.arrivals.filter(({ at }) => at >= fleet.clock.now() - 2000);
+    expect(lastSeconds.length).toBeGreaterThanOrEqual(4);
+    expect(lastSeconds.length).toBeLessThanOrEqual(6);
+  });
+
+  it('counts as cold when its entry arrives late after a restart (guards against the full load until the entry is seen)', async () => {
+    const [host] = startAll(['i0'], WARM) as [WarmupInstance];
+    const load = offerLoad([host]);
+    await advance(3000, load);
+    fleet.arrivals.length = 0;
+    fleet.breakConnections();
+    // An entry that was written before the restart is delivered after it.
+    await advance(300, load);
+    fleet.publish({ instances: ['i0'], entry: { ...WARM, sequence: 2 } });
+    await advance(1500, load);
+    fleet.publish({ instances: ['i0'], entry: COLD });
+    await advance(1500, load);
+    expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(PACE);
+    expect(fleet.arrivals.length).toBeGreaterThan(PACE);
+  });
+
+  it('is warm again after a failure of the link alone (guards against a slow member after a lost link)', async () => {
+    const [host] = startAll(['i0'], WARM) as [WarmupInstance];
+    const load = offerLoad([host]);
+    await advance(500, load);
+    fleet.breakConnections();
+    await advance(1300, load);
+    expect(host.changes).toEqual(['cold']);
+    fleet.publish({ instances: ['i0'], entry: { ...WARM, sequence: 2 } });
+    await advance(100, load);
+    expect(host.changes).toEqual(['cold', 'warm']);
+  });
+
+  it('gets BEGIN and the statements of a transaction at its pace (guards against a transaction beyond it, or lost to it)', async () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    await advance(3000);
+    const commits: StatementResult[] = [];
+    async function transact(): Promise<void> {
+      const begun = await host.access.begin({ ...createRead(), readOnly: true });
+      if (begun.kind !== 'open') return;
+      const { transaction } = begun;
+      for (const text of ['READ i1', 'READ i2', 'COMMIT']) {
+        const statement = { requestId: text, text, prepared: undefined };
+        const result = await transaction.run(statement, NO_VALUES, 2000);
+        if (text === 'COMMIT') commits.push(result);
+      }
+      transaction.end();
+    }
+    for (let count = 0; count < 3; count += 1) void transact();
+    await advance(20);
+    const single = host.access.run(createRead({ maxEstimatedWaitMs: 50 }));
+    await advance(2000);
+    expect(await single).toMatchObject({ kind: 'refused', reason: 'overloaded' });
+    const kinds = fleet.arrivals.map(({ kind }) => kind);
+    expect(kinds.filter((kind) => kind === 'begin')).toHaveLength(3);
+    expect(kinds.filter((kind) => kind === 'forward')).toHaveLength(9);
+    expect(commits.map(({ kind }) => kind)).toEqual(['answered', 'answered', 'answered']);
+    expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(PACE);
+  });
+
+  it('counts a rollback (guards against rollbacks beyond the pace)', async () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    await advance(3000);
+    const begun = host.access.begin({ ...createRead(), readOnly: true });
+    await advance(5);
+    const result = await begun;
+    if (result.kind === 'open') result.transaction.end();
+    const single = host.access.run(createRead({ maxEstimatedWaitMs: 150 }));
+    await advance(300);
+    expect(fleet.arrivals.map(({ kind }) => kind)).toEqual(['begin', 'rollback']);
+    expect(await single).toMatchObject({ kind: 'refused', reason: 'overloaded' });
+  });
+
+  it('is one in a failure domain whose evacuation has ended (guards against the full load on all its members at once)', () => {
+    const [host] = startAll(['i0'], WARM) as [WarmupInstance];
+    const { view, hosts, clock, metrics, log } = host;
+    const settings = { instance: 'i0' as never };
+    const evacuationEnds: Milliseconds[] = [];
+    const findEvacuationEnd = (): Milliseconds | undefined => evacuationEnds[0];
+    const services = { settings, view, hosts, clock, metrics, log, findEvacuationEnd };
+    const warmups = new MemberWarmups(services);
+    warmups.applyView();
+    expect(warmups.reserve(MEMBER, 0, 1)).toBeUndefined();
+    evacuationEnds.push(clock.now());
+    warmups.update();
+    expect(warmups.reserve(MEMBER, 0, 1)).toMatchObject({ kind: 'refused' });
+    clock.advance(WARMUP.durationMs);
+    expect(warmups.reserve(MEMBER, 0, 1)).toBeUndefined();
+  });
+
+  it('is listed as cold to readers (guards against reads that prefer it)', () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    expect(host.registry.listReaders('g' as never)).toMatchObject([{ id: MEMBER, isCold: true }]);
+  });
+});
+
+describe('a member of a group without a warm-up', () => {
+  it('gets its full load at once (guards against limits that nobody configured)', async () => {
+    vi.useFakeTimers();
+    const fleet = new WarmupFleet(undefined);
+    const host = fleet.start('i0', { instances: ['i0'], entry: COLD });
+    let answered = 0;
+    const count = ({ kind }: StatementResult): void => {
+      if (kind === 'answered') answered += 1;
+    };
+    const load = (): void => void host.access.run(createRead()).then(count);
+    await fleet.advance(500, load);
+    fleet.breakConnections();
+    await fleet.advance(500, load);
+    expect(answered).toBeGreaterThan(190);
+    expect(host.changes).toEqual([]);
+    const metrics = await host.metrics.registry.metrics();
+    expect(metrics).toContain('heatherledge_gateway_cold_refusals_total 0');
+    fleet.stop();
+    vi.useRealTimers();
+  });
+});
