--- a/packages/gateway/test/hosting/cold-members.test.ts
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -1,6 +1,6 @@
 import { type MemberEntry, type Milliseconds, toMilliseconds } from '@heatherledge/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { MemberWarmups, type StatementResult } from '../../src/index.js';
+import { createPreparedStatement, MemberWarmups, type StatementResult } from '../../src/index.js';
 import {
   createRead,
   MEMBER,
@@ -191,6 +191,19 @@
     expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(PACE);
   });
 
+  it('counts a statement that is prepared (guards against two commands for one token)', async () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    await advance(3000);
+    const prepared = createPreparedStatement('read', 'q', 1);
+    const statement = { requestId: 'r1', text: 'i1', prepared };
+    void host.access.run(createRead({ statement }));
+    await advance(10);
+    const single = host.access.run(createRead({ maxEstimatedWaitMs: 150 }));
+    await advance(300);
+    expect(fleet.arrivals.map(({ kind }) => kind)).toEqual(['prepare', 'execute']);
+    expect(await single).toMatchObject({ kind: 'refused', reason: 'overloaded' });
+  });
+
   it('counts a rollback (guards against rollbacks beyond the pace)', async () => {
     const [host] = startAll(['i0'], COLD) as [WarmupInstance];
     await advance(3000);
