--- a/packages/core/src/serving/choose-read-member.ts
+++ b/packages/core/src/serving/choose-read-member.ts
@@ -23,6 +23,8 @@
   readonly laggingUntil: Milliseconds;
   /** Fraction of the recent statements that failed at the member, 0 to 1. */
   readonly failureRatio: number;
+  /** Whether the member started recently, and accepts only few statements. */
+  readonly isCold?: boolean | undefined;
 }
 
 /** The member chosen for a read, and the log position that it has to reach first. */
@@ -57,6 +59,12 @@
 const DRAINING_PENALTY_MS = 4500;
 /** A member that failed recently, or probably lags, is used only if no other member is left. */
 const AVOIDED_PENALTY_MS = 450;
+/**
+ * Cost of a cold member: about the longest queue that a member accepts (0.7 of an objective of 400 ms,
+ * in milliseconds), so that a cold one is used once the warm ones are full. It is below that of
+ * a member that failed or lags, which would probably refuse.
+ */
+const COLD_PENALTY_MS = 270;
 /** A member already tried for this read is used only after every other one. */
 const TRIED_PENALTY_MS = 1350;
 /**
@@ -135,6 +143,7 @@
   if (member.isPrimary) cost += PRIMARY_COST_MS;
   else if (isLikelyLagging(member, waitFor, now)) cost += AVOIDED_PENALTY_MS;
   if (member.isDraining) cost += DRAINING_PENALTY_MS;
+  if (member.isCold === true) cost += COLD_PENALTY_MS;
   if (member.avoidUntil > now) cost += AVOIDED_PENALTY_MS;
   if (requirements.tried.has(member.id)) cost += TRIED_PENALTY_MS;
   return cost;
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -22,6 +22,7 @@
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
 import { isSameEndpoint } from './member-endpoint.js';
 import { MemberPool } from './member-pool.js';
+import { MemberWarmups } from './member-warmups.js';
 import type { PoolLimits, PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
@@ -70,6 +71,8 @@
 
   /** Decides what may be sent to members of evacuated failure domains. */
   readonly evacuationGuard: EvacuationGuard;
+  /** Cold members, and the limits of statements to them. */
+  readonly warmups: MemberWarmups;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -85,6 +88,10 @@
     this.primaryTracker = new PrimaryTracker(view, (member) => this.states.has(member), clock, log);
     const isPrimary = (member: MemberId): boolean => this.isPrimary(member);
     this.evacuationGuard = new EvacuationGuard(view, isPrimary, clock, metrics);
+    const findEvacuationEnd = (domain: string): Milliseconds | undefined =>
+      view.findEvacuationEnd(domain);
+    const warmupServices = { settings, view, hosts, clock, metrics, log, findEvacuationEnd };
+    this.warmups = new MemberWarmups(warmupServices);
     view.onChange(() => this.applyView());
   }
 
@@ -171,6 +178,7 @@
         reportedPosition,
         laggingUntil,
         failureRatio: outcomes.computeFailureRatio(now),
+        isCold: this.warmups.isCold(entry),
       });
     }
     return readers;
@@ -228,6 +236,10 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
+  onReachable(entry: MemberEntry, isReachable: boolean): void {
+    this.warmups.recordReachable(entry, isReachable);
+  }
+
   onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void {
     const { number, organisation } = connection;
     const { name, access, shape } = command;
@@ -258,6 +270,7 @@
 
   /** Recomputes the pools' limits, which depend on the hosts that answer, and closes connections. */
   private runMaintenance(): void {
+    this.warmups.update();
     for (const { entry, limits, pool } of this.states.values()) {
       Object.assign(limits, this.hosts.computeBudget(entry));
       pool.trim();
@@ -272,6 +285,7 @@
       state.pool.close();
     }
     for (const entry of this.view.members.values()) this.setMember(entry);
+    this.warmups.applyView();
     this.primaryTracker.notifyWaiters();
   }
 
