Resolve the allowed regions of an organisation whose name is empty

Cause: the empty name counted as no organisation, and its place was taken for a restriction, so each statement of such an organisation ended its session (seen in platform/test/serving/names-of-operators). Change: names are compared with undefined, here and for members. Result: that test and a new one pass.

--- a/packages/core/src/serving/allowed-regions.ts
+++ b/packages/core/src/serving/allowed-regions.ts
@@ -35,7 +35,11 @@
   organisation: OrganisationId | undefined,
 ): AllowedRegions | undefined {
   const { allowedRegions: ofRoute } = settings.routesByDatabase.get(route.database) ?? route;
-  const ofOrganisation = organisation && settings.organisations.get(organisation)?.allowedRegions;
+  // The name of an organisation may be empty.
+  const ofOrganisation =
+    organisation === undefined
+      ? undefined
+      : settings.organisations.get(organisation)?.allowedRegions;
   if (ofRoute === undefined || ofOrganisation === undefined) return ofRoute ?? ofOrganisation;
   return new Set([...ofRoute].filter((region) => ofOrganisation.has(region)));
 }
--- a/packages/core/test/units/allowed-regions.test.ts
+++ b/packages/core/test/units/allowed-regions.test.ts
@@ -96,6 +96,17 @@
     );
   });
 
+  /** Guards against the empty name of an organisation that is taken for none, or for a restriction. */
+  it('are found for an organisation whose name is empty', () => {
+    const unnamed = toBrand<OrganisationId>('');
+    const route = createRoute('d');
+    const settings = createSettings([route]);
+    expect(resolveAllowedRegions(settings, route, unnamed)).toBeUndefined();
+    const rate = { id: unnamed, requestsPerSecond: 1, burst: 1, allowedRegions: new Set(['a']) };
+    const restricted = { ...settings, organisations: new Map([[unnamed, rate]]) };
+    expect(resolveAllowedRegions(restricted, route, unnamed)).toEqual(new Set(['a']));
+  });
+
   /** Guards against an unknown failure domain that counts as every region. */
   it('leave out what is in no region, and the empty set leaves out everything', () => {
     expect(isRegionAllowed(undefined, new Set(['a']))).toBe(false);
--- a/packages/gateway/src/members/primary-sampler.ts
+++ b/packages/gateway/src/members/primary-sampler.ts
@@ -71,7 +71,7 @@
     const { memberRegistry } = this.services;
     const { primaryTracker, hosts } = memberRegistry;
     const member = primaryTracker.find(group);
-    const entry = member && memberRegistry.findEntry(member);
+    const entry = member === undefined ? undefined : memberRegistry.findEntry(member);
     if (entry === undefined) return;
     this.nextRequestAt.set(group, toMilliseconds(now + SAMPLE_INTERVAL_MS));
     const newest = primaryTracker.listSamples().find((sample) => sample.group === group);
--- a/packages/gateway/src/sessions/region-rules.ts
+++ b/packages/gateway/src/sessions/region-rules.ts
@@ -39,7 +39,8 @@
   const reason = findRegionRefusalReason(allowed, {
     hasMember: memberRegistry.hosts.regions.hasMember(route.group, allowed),
     needsPrimary,
-    isPrimaryAllowed: primary && mayReachMember(memberRegistry, grant, primary),
+    isPrimaryAllowed:
+      primary === undefined ? undefined : mayReachMember(memberRegistry, grant, primary),
   });
   if (reason === undefined) return undefined;
   metrics.homeRefusals.inc({ reason });
