Share a member's slots by slot time and deadline, and hold each until the reply

Cause: a slot was released after 150 ms although a statement may take 270 ms, and seconds at a slow member, which then received more than it has slots for. Organisations shared a member by the number of their statements, nothing in the queue knew deadlines, and a full queue refused urgent statements. Change: a slot is held until the reply, the statement's timeout, or twelve times the mean time of its class at the member (150 ms to 2 s; the longest statements take 10.8 times the mean). Within a priority organisations share slot time, charged by a moving average at the start and corrected at the end; within an organisation the earliest deadline runs first. A statement that cannot meet its deadline is rejected when that is known, and a full queue (192 of all priorities) displaces the least urgent statement that has waited least. Rejections carry cause, queue length, estimated wait and retry-after time. One test of the gate expected the patience of the statement as the retry-after time of an expired statement; it now expects the exact excess of the estimated wait, and the cause.

--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -1,54 +1,39 @@
-import type { QueueTicket } from '../fairness/fair-queue.js';
-import { WeightedFairQueue } from '../fairness/weighted-fair-queue.js';
+import type { FairQueueRequest, WaitingRequest } from '../fairness/organisation-requests.js';
+import {
+  DEFAULT_COST_MS,
+  type SlotCharge,
+  SlotTimeFairQueue,
+} from '../fairness/slot-time-fair-queue.js';
 import { WaitEstimator } from '../serving/wait-estimator.js';
 import type { Milliseconds, OrganisationId } from '../types/ids.js';
+import {
+  computeMaxHoldMs,
+  computeRetryAfterMs,
+  type RejectionCause,
+  type SlotDecision,
+  type SlotRejection,
+  type SlotRequest,
+  type SlotTicket,
+  type SlotUse,
+} from './slot-request.js';
 
 /**
  * Statements beyond its slots that a member gets at the same time, so that a slot is not idle for a
  * round trip to the host.
  */
 const PIPELINED_STATEMENTS = 1;
-/** Maximum number of statements of one priority that wait. */
-const MAX_WAITING_STATEMENTS = 96;
-
-/** A statement that needs a slot. */
-export interface SlotRequest {
-  /** Undefined for callers without a valid key, which share one place in the queue. */
-  readonly organisation: OrganisationId | undefined;
-  /** Part of the organisation relative to others under overload; positive. */
-  readonly weight: number;
-  /** Lower values are served first; 0 is the most urgent. */
-  readonly priority: number;
-  /** Time at which the statement expires. */
-  readonly deadline: Milliseconds;
-  /** The statement is refused at once if its estimated wait is longer, in milliseconds. */
-  readonly maxEstimatedWaitMs: number;
-}
-
-/** Decision on a statement that needs a slot. */
-export type SlotDecision =
-  | { readonly kind: 'granted' }
-  | { readonly kind: 'queued'; readonly ticket: SlotTicket }
-  | {
-      readonly kind: 'refused';
-      /** Time after which the statement would probably be accepted, in milliseconds. */
-      readonly retryAfterMs: number;
-    };
-
-/** Identifies a waiting statement. */
-export interface SlotTicket {
-  readonly priority: number;
-  readonly ticket: QueueTicket;
-}
-
-/** Bounds of the time after which a refused statement is to be sent again. */
-const MIN_RETRY_AFTER_MS = 50;
-const MAX_RETRY_AFTER_MS = 2000;
+/**
+ * Maximum number of statements that wait, of all priorities. At 4 slots and 9 ms it is the work of
+ * more than the 0.4 s for which the most urgent class may wait.
+ */
+const MAX_WAITING_STATEMENTS = 192;
+/** Priorities with state; further ones replace those without waiting statements. */
+const MAX_PRIORITIES = 16;
 
-/** The statements of one priority that wait. */
+/** The statements of one priority. */
 interface PriorityQueue {
-  readonly waiting: WeightedFairQueue;
-  /** Moving average of the share of statements that left the queue and were more urgent. */
+  readonly waiting: SlotTimeFairQueue;
+  /** Moving average of the share of the dequeued slot time that more urgent statements took. */
   urgentShare: number;
 }
 
@@ -56,6 +41,8 @@
 const URGENT_SHARE_SMOOTHING = 0.1;
 /** The share may exceed this for a moment, which says little about the wait of the others. */
 const MAX_URGENT_SHARE = 0.8;
+/** Weight of the newest statement in the mean slot time of the dequeued ones. */
+const DEQUEUED_COST_SMOOTHING = 0.2;
 
 /** Organisation of callers without a valid key. */
 const ANONYMOUS = '' as OrganisationId;
@@ -63,19 +50,26 @@
 /**
  * Decides which statement runs next at a member.
  *
- * Load pattern: replicas lag, so all reads of a group go to its primary, and one organisation sends
- * several times its usual number. A member that gets everything at once runs statements in the order
- * of their arrival and refuses what its own short queue does not hold, at random. Here the most urgent
- * statements run first, organisations share the rest by their weights, and a statement that would wait
- * too long is refused at its arrival, so that another member can serve it or its caller knows at once.
+ * Load pattern: replicas lag, so all reads of a group go to its primary, and one or two organisations
+ * send several times their usual number, of statements that take 5 to 270 ms. The most urgent
+ * statements run first, organisations share the rest of the slot time by their weights, and within an
+ * organisation the earliest deadline runs first. A statement that would wait too long is refused at its
+ * arrival, one whose deadline can no longer be met as soon as this is known, and a full queue rejects
+ * the least urgent statement that has waited least, so that its caller can send it elsewhere.
  */
 export class MemberSlotQueue {
   private running = 0;
 
-  private readonly queues = new Map<number, PriorityQueue>();
+  /** Most urgent first. */
+  private queues: (PriorityQueue & { readonly priority: number })[] = [];
 
   private readonly waitEstimator = new WaitEstimator();
 
+  /** Moving average of the slot time of the dequeued statements, in milliseconds. */
+  private dequeuedCostMs: number | undefined;
+
+  private rejected: SlotRejection[] = [];
+
   /** @param slots - statements that the member runs at the same time */
   constructor(private readonly slots: number) {}
 
@@ -85,25 +79,32 @@
   }
 
   /**
-   * Requests a slot.
+   * Requests a slot. Other statements may be rejected for it; see `takeRejected`.
    *
    * @param request - the statement
    * @param now - current time
    * @returns whether it may run now, waits, or is refused
    */
   request(request: SlotRequest, now: Milliseconds): SlotDecision {
-    const { organisation = ANONYMOUS, weight, priority, deadline, maxEstimatedWaitMs } = request;
+    const { organisation = ANONYMOUS, priority, isInTransaction = false } = request;
+    const queue = this.getQueue(priority);
+    this.removeUnservable(now);
     if (this.running < this.slots + PIPELINED_STATEMENTS && this.countWaiting() === 0) {
       this.running += 1;
-      return { kind: 'granted' };
+      const charge = queue.waiting.charge(organisation, request.weight);
+      return { kind: 'granted', use: { priority, charge, startedAt: now } };
     }
-    const queue = this.getQueue(priority);
-    const waitMs = this.estimateWait(queue, organisation, priority, now);
-    const patienceMs = Math.min(maxEstimatedWaitMs, deadline - now);
-    if (waitMs > patienceMs) return createRefusal(waitMs - patienceMs);
-    const ticket = queue.waiting.push(organisation, weight);
-    if (ticket === undefined) return createRefusal(waitMs);
-    return { kind: 'queued', ticket: { priority, ticket } };
+    const waiting: FairQueueRequest = { ...request, organisation, isInTransaction };
+    const waitMs = this.estimateWait(queue, waiting, now);
+    const serviceMs = isInTransaction ? 0 : (queue.waiting.estimateMeasuredCost(organisation) ?? 0);
+    const patienceMs = Math.min(request.maxEstimatedWaitMs, request.deadline - serviceMs - now);
+    if (waitMs > patienceMs) return this.createRefusal('wait', waitMs, patienceMs);
+    const isFull = this.countWaiting() >= MAX_WAITING_STATEMENTS;
+    if (isFull && !this.displaceFor(queue, waiting, now)) {
+      return this.createRefusal('full', waitMs, 0);
+    }
+    const { ticket, latestStart } = queue.waiting.push(waiting);
+    return { kind: 'queued', ticket: { priority, ticket }, latestStart };
   }
 
   /**
@@ -111,65 +112,165 @@
    *
    * @returns the waiting statement that runs next, if there is one
    */
-  release(now: Milliseconds): SlotTicket | undefined {
-    const next = this.shift(now);
-    if (next === undefined) this.running -= 1;
-    return next;
+  release(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
+    this.removeUnservable(now);
+    for (const { priority, waiting } of this.queues) {
+      const next = waiting.shift();
+      if (next === undefined) continue;
+      this.recordDequeue(priority, next.costMs, now);
+      const { ticket, organisation, costMs } = next;
+      const charge: SlotCharge = { organisation, costMs };
+      return { priority, ticket, use: { priority, charge, startedAt: now } };
+    }
+    this.running -= 1;
+    return undefined;
+  }
+
+  /**
+   * Records that a statement ended; before the release of its slot, unless it was released earlier.
+   *
+   * @param use - how it used its slot
+   * @param now - current time
+   * @param hasReply - whether the member replied; a lost reply tells nothing about its speed
+   */
+  recordEnd({ priority, charge, startedAt }: SlotUse, now: Milliseconds, hasReply: boolean): void {
+    const queue = this.queues.find((other) => other.priority === priority);
+    queue?.waiting.recordEnd(charge, now - startedAt, hasReply);
+  }
+
+  /**
+   * Computes for how long a statement may hold its slot without a reply. The member has long been
+   * running others if the reply is lost, but not if it is slow.
+   *
+   * @param priority - priority of the statement
+   * @returns the time, in milliseconds
+   */
+  computeMaxHoldMs(priority: number): number {
+    const own = this.queues.find((queue) => queue.priority === priority);
+    return computeMaxHoldMs(own?.waiting.meanMs ?? this.computeMeanMs());
   }
 
   /** Removes a statement that no longer waits. */
   cancel({ priority, ticket }: SlotTicket): void {
-    this.queues.get(priority)?.waiting.remove(ticket);
+    this.queues.find((queue) => queue.priority === priority)?.waiting.remove(ticket);
   }
 
-  private shift(now: Milliseconds): SlotTicket | undefined {
-    const priorities = [...this.queues.keys()].sort((left, right) => left - right);
-    for (const priority of priorities) {
-      const ticket = this.getQueue(priority).waiting.shift();
-      if (ticket === undefined) continue;
-      this.recordDequeue(priority, now);
-      return { priority, ticket };
+  /** @returns the waiting statements rejected since the last call, which must be told so */
+  takeRejected(): SlotRejection[] {
+    const { rejected } = this;
+    if (rejected.length > 0) this.rejected = [];
+    return rejected;
+  }
+
+  /** Rejects the waiting statements whose latest start has passed; see `takeRejected`. */
+  expire(now: Milliseconds): void {
+    this.removeUnservable(now);
+  }
+
+  private removeUnservable(now: Milliseconds): void {
+    let urgentMs = 0;
+    const concurrency = this.slots + PIPELINED_STATEMENTS;
+    for (const queue of this.queues) {
+      const { waiting } = queue;
+      if (waiting.size === 0) continue;
+      const removed = waiting.removeUnservable(now, urgentMs, concurrency);
+      for (const request of removed) this.reject('deadline', queue, request, now);
+      urgentMs += waiting.computeWork();
     }
-    return undefined;
   }
 
-  private recordDequeue(priority: number, now: Milliseconds): void {
-    this.waitEstimator.recordDequeue(now, this.countWaiting() > 0);
-    for (const [other, queue] of this.queues) {
-      const isMoreUrgent = priority < other ? 1 : 0;
-      queue.urgentShare += URGENT_SHARE_SMOOTHING * (isMoreUrgent - queue.urgentShare);
+  /** @returns whether there is room for the new statement now */
+  private displaceFor(queue: PriorityQueue, request: FairQueueRequest, now: Milliseconds): boolean {
+    for (let index = this.queues.length - 1; index >= 0; index -= 1) {
+      const other = this.queues[index] as (typeof this.queues)[number];
+      // Within a priority the new statement has waited least, but may be due before others.
+      const victim =
+        other === queue ? other.waiting.findDueAfter(request) : other.waiting.findNewest();
+      if (victim !== undefined) {
+        other.waiting.remove(victim.ticket);
+        this.reject('displaced', other, victim, now);
+        return true;
+      }
+      if (other === queue) return false;
     }
+    return false;
   }
 
-  /** Estimates a wait from what is ahead, and from the more urgent statements still to come. */
-  private estimateWait(
-    { waiting, urgentShare }: PriorityQueue,
-    organisation: OrganisationId,
-    priority: number,
+  private reject(
+    cause: RejectionCause,
+    queue: PriorityQueue & { readonly priority: number },
+    request: WaitingRequest,
     now: Milliseconds,
-  ): number {
-    let ahead = waiting.countDueBefore(organisation);
-    for (const [other, queue] of this.queues) if (other < priority) ahead += queue.waiting.size;
-    const remainingShare = 1 - Math.min(MAX_URGENT_SHARE, urgentShare);
-    return this.waitEstimator.estimateWait(ahead, now) / remainingShare;
+  ): void {
+    const waitMs = this.estimateWait(queue, request, now);
+    const retryAfterMs = computeRetryAfterMs(waitMs - request.maxEstimatedWaitMs);
+    const ticket = { priority: queue.priority, ticket: request.ticket };
+    const waiting = this.countWaiting();
+    this.rejected.push({ ticket, cause, retryAfterMs, waiting, estimatedWaitMs: waitMs });
+  }
+
+  private createRefusal(cause: RejectionCause, waitMs: number, patienceMs: number): SlotDecision {
+    const retryAfterMs = computeRetryAfterMs(waitMs - patienceMs);
+    const waiting = this.countWaiting();
+    return { kind: 'refused', cause, retryAfterMs, waiting, estimatedWaitMs: waitMs };
+  }
+
+  private recordDequeue(priority: number, costMs: number, now: Milliseconds): void {
+    this.waitEstimator.recordDequeue(now, this.countWaiting() > 0);
+    const mean = this.dequeuedCostMs ?? costMs;
+    this.dequeuedCostMs = mean + DEQUEUED_COST_SMOOTHING * (costMs - mean);
+    const smoothing = URGENT_SHARE_SMOOTHING * Math.min(2, costMs / this.dequeuedCostMs);
+    for (const queue of this.queues) {
+      const isMoreUrgent = priority < queue.priority ? 1 : 0;
+      queue.urgentShare += smoothing * (isMoreUrgent - queue.urgentShare);
+    }
+  }
+
+  /**
+   * Estimates a wait from the slot time that is ahead, at the rate at which the member takes it, and
+   * from the share of more urgent statements still to come.
+   */
+  private estimateWait(queue: PriorityQueue, request: FairQueueRequest, now: Milliseconds): number {
+    let aheadMs = queue.waiting.estimateWorkBefore(request);
+    for (const other of this.queues) {
+      if (other === queue) break;
+      aheadMs += other.waiting.computeWork();
+    }
+    const remainingShare = 1 - Math.min(MAX_URGENT_SHARE, queue.urgentShare);
+    return this.estimateDuration(aheadMs, now) / remainingShare;
+  }
+
+  private estimateDuration(workMs: number, now: Milliseconds): number {
+    const ahead = workMs / (this.dequeuedCostMs ?? DEFAULT_COST_MS);
+    const durationMs = this.waitEstimator.estimateWait(ahead, now);
+    if (this.dequeuedCostMs !== undefined || this.computeMeanMs() === undefined) return durationMs;
+    // Nothing has been dequeued yet, but statements have ended that did not wait.
+    return Math.max(durationMs, workMs / (this.slots + PIPELINED_STATEMENTS));
+  }
+
+  private computeMeanMs(): number | undefined {
+    let slowestMs: number | undefined;
+    for (const { waiting } of this.queues) {
+      if (waiting.meanMs !== undefined) slowestMs = Math.max(slowestMs ?? 0, waiting.meanMs);
+    }
+    return slowestMs;
   }
 
   private getQueue(priority: number): PriorityQueue {
-    const known = this.queues.get(priority);
+    const known = this.queues.find((queue) => queue.priority === priority);
     if (known !== undefined) return known;
-    const queue = { waiting: new WeightedFairQueue(MAX_WAITING_STATEMENTS), urgentShare: 0 };
-    this.queues.set(priority, queue);
+    if (this.queues.length >= MAX_PRIORITIES) {
+      this.queues = this.queues.filter(({ waiting }) => waiting.size > 0);
+    }
+    const queue = { priority, waiting: new SlotTimeFairQueue(), urgentShare: 0 };
+    this.queues.push(queue);
+    this.queues.sort((left, right) => left.priority - right.priority);
     return queue;
   }
 
   private countWaiting(): number {
     let count = 0;
-    for (const { waiting } of this.queues.values()) count += waiting.size;
+    for (const { waiting } of this.queues) count += waiting.size;
     return count;
   }
 }
-
-function createRefusal(excessWaitMs: number): SlotDecision {
-  const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessWaitMs));
-  return { kind: 'refused', retryAfterMs };
-}
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
+import type { Clock, Milliseconds, OrganisationId, RejectionCause } from '@heatherledge/core';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { MemberPool } from '../members/member-pool.js';
@@ -26,6 +26,16 @@
  */
 const MAX_CONNECTION_WAIT_IN_SLOT_MS = 100;
 
+/** Maximum random part of a retry-after time; the minimum is the estimate itself. */
+const RETRY_JITTER_RATIO = 0.5;
+
+const REJECTION_TEXTS: Readonly<Record<RejectionCause, string>> = {
+  wait: 'the queue for the member is too long',
+  full: 'the queue for the member is full',
+  displaced: 'the queue for the member is full of more urgent requests',
+  deadline: 'the queue for the member is too slow for the objective',
+};
+
 /**
  * Finds the part of an organisation relative to others, by which they share an overloaded member;
  * undefined stands for callers without a valid key.
@@ -67,10 +77,13 @@
       waitMs,
     });
     if (admitted.kind !== 'granted') return this.createSlotRefusal(admitted);
+    let hasReply = false;
     try {
-      return await this.runInSlot(request, startedAt);
+      const result = await this.runInSlot(request, startedAt);
+      hasReply = result.kind === 'answered';
+      return result;
     } finally {
-      admitted.release();
+      admitted.release(hasReply);
     }
   }
 
@@ -95,11 +108,12 @@
   }
 
   private createSlotRefusal(result: Exclude<SlotResult, { kind: 'granted' }>): AccessRefusal {
-    if (result.kind === 'timeout') return createRefusal('timeout');
     // The random part spreads the callers that were refused together.
-    const retryAfterMs = Math.round(result.retryAfterMs * (1 + this.random()));
-    const text = `the queue for the member is too long; retry after ${retryAfterMs} ms`;
-    return createRefusal('overloaded', 'busy', text);
+    const retryAfterMs = Math.round(result.retryAfterMs * (1 + RETRY_JITTER_RATIO * this.random()));
+    const cause =
+      result.kind === 'timeout' ? 'no connection: timeout' : REJECTION_TEXTS[result.cause];
+    const text = `${cause}; retry after ${retryAfterMs} ms`;
+    return createRefusal(result.kind, 'busy', text);
   }
 
   private async runInSlot(
@@ -198,15 +212,19 @@
       weight: this.weight,
       priority: OPEN_TRANSACTION_PRIORITY,
       maxEstimatedWaitMs: timeoutMs,
+      isInTransaction: true,
       waitMs: timeoutMs,
     });
     if (admitted !== undefined && admitted.kind !== 'granted') {
       return { kind: 'lost', reason: `no slot: ${admitted.kind}`, wasSent: false };
     }
+    let hasReply = false;
     try {
-      return await this.runInSlot(statement, values, timeoutMs);
+      const result = await this.runInSlot(statement, values, timeoutMs);
+      hasReply = result.kind === 'answered';
+      return result;
     } finally {
-      admitted?.release();
+      admitted?.release(hasReply);
     }
   }
 
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -1,8 +1,10 @@
 import {
   type Clock,
   MemberSlotQueue,
+  type RejectionDetails,
   type SlotRequest,
   type SlotTicket,
+  type SlotUse,
   toMilliseconds,
 } from '@heatherledge/core';
 
@@ -10,15 +12,17 @@
 export type SlotResult =
   | {
       readonly kind: 'granted';
-      /** Releases the slot; further calls have no effect. */
-      readonly release: () => void;
+      /**
+       * Releases the slot; further calls have no effect.
+       *
+       * @param hasReply - whether the member replied; true by default
+       */
+      readonly release: (hasReply?: boolean) => void;
     }
-  | { readonly kind: 'timeout' }
-  | {
-      readonly kind: 'overloaded';
-      /** Time after which the statement would probably be accepted, in milliseconds. */
-      readonly retryAfterMs: number;
-    };
+  | ({
+      /** `timeout`: the statement's own timeout passed before its turn. */
+      readonly kind: 'timeout' | 'overloaded';
+    } & RejectionDetails);
 
 /** What a statement tells of itself to get a slot. */
 export type GateRequest = Omit<SlotRequest, 'deadline'> & {
@@ -28,15 +32,13 @@
 
 /** A statement waits up to this multiple of the wait that it may be estimated to have. */
 const MAX_WAIT_FACTOR = 1.5;
-/**
- * A statement takes at most 110 ms, and a new connection 12 ms. If its reply is lost, it waits for its
- * timeout, but the member has long been running others.
- */
-const MAX_SLOT_HOLD_MS = 150;
-
+/** A timer may fire up to a millisecond before the time that it was set for. */
+const EXPIRY_MARGIN_MS = 1.5;
 interface Waiter {
   readonly ticket: SlotTicket;
   readonly resolve: (result: SlotResult) => void;
+  /** Result if it is rejected for its deadline. */
+  readonly expiredKind: 'timeout' | 'overloaded';
   readonly timer: NodeJS.Timeout;
 }
 
@@ -63,52 +65,67 @@
   }
 
   /**
-   * Waits for a slot, which the caller must release if it is granted; one that is held for longer
-   * than a statement takes is released without it.
+   * Waits for a slot, which the caller must release if it is granted; one that is held for much longer
+   * than the member's statements take is released without it.
    *
    * @param request - the statement
    * @returns whether the statement may run
    */
   async acquire({ waitMs, ...request }: GateRequest): Promise<SlotResult> {
     const now = this.clock.now();
-    const decision = this.queue.request(
-      { ...request, deadline: toMilliseconds(now + waitMs) },
-      now,
-    );
-    if (decision.kind === 'granted') return this.createGrant();
-    if (decision.kind === 'refused') {
-      return { kind: 'overloaded', retryAfterMs: decision.retryAfterMs };
-    }
-    const { ticket } = decision;
+    // Beyond its objective a statement would be served late, and delay those behind it.
+    const objectiveMs =
+      request.isInTransaction === true ? Infinity : request.maxEstimatedWaitMs * MAX_WAIT_FACTOR;
+    const deadline = toMilliseconds(now + Math.min(waitMs, objectiveMs));
+    const decision = this.queue.request({ ...request, deadline }, now);
+    this.settleRejected();
+    if (decision.kind === 'granted') return this.createGrant(decision.use);
+    if (decision.kind === 'refused') return { ...decision, kind: 'overloaded' };
+    const { ticket, latestStart } = decision;
     return new Promise((resolve) => {
-      // Beyond its objective a statement would be served late, and delay those behind it.
-      const objectiveMs = request.maxEstimatedWaitMs * MAX_WAIT_FACTOR;
-      const result: SlotResult =
-        objectiveMs < waitMs
-          ? { kind: 'overloaded', retryAfterMs: request.maxEstimatedWaitMs }
-          : { kind: 'timeout' };
-      const maxWaitMs = Math.min(waitMs, objectiveMs);
-      const timer = setTimeout(() => this.expire(ticket, result), Math.max(1, maxWaitMs));
-      this.waiters.set(formatTicket(ticket), { ticket, resolve, timer });
+      const expiredKind = objectiveMs < waitMs ? 'overloaded' : 'timeout';
+      const timer = this.scheduleExpiry(latestStart - now);
+      this.waiters.set(formatTicket(ticket), { ticket, resolve, expiredKind, timer });
     });
   }
 
-  private createGrant(): SlotResult {
-    let isReleased = false;
-    const release = (): void => {
-      if (isReleased) return;
-      isReleased = true;
+  private createGrant(use: SlotUse): SlotResult {
+    let isHeld = true;
+    let isEnded = false;
+    const free = (): void => {
+      if (!isHeld) return;
+      isHeld = false;
       clearTimeout(timer);
       const next = this.queue.release(this.clock.now());
-      if (next !== undefined) this.settle(next, this.createGrant());
+      if (next !== undefined) this.settle(next, this.createGrant(next.use));
+      this.settleRejected();
+    };
+    const timer = setTimeout(free, this.queue.computeMaxHoldMs(use.priority));
+    const release = (hasReply = true): void => {
+      if (isEnded) return;
+      isEnded = true;
+      this.queue.recordEnd(use, this.clock.now(), hasReply);
+      free();
     };
-    const timer = setTimeout(release, MAX_SLOT_HOLD_MS);
     return { kind: 'granted', release };
   }
 
-  private expire(ticket: SlotTicket, result: SlotResult): void {
-    this.queue.cancel(ticket);
-    this.settle(ticket, result);
+  private scheduleExpiry(delayMs: number): NodeJS.Timeout {
+    return setTimeout(
+      () => {
+        this.queue.expire(toMilliseconds(this.clock.now() + EXPIRY_MARGIN_MS));
+        this.settleRejected();
+      },
+      Math.max(1, Math.ceil(delayMs)),
+    );
+  }
+
+  private settleRejected(): void {
+    for (const { ticket, ...details } of this.queue.takeRejected()) {
+      const expiredKind = this.waiters.get(formatTicket(ticket))?.expiredKind;
+      const isTimeout = details.cause === 'deadline' && expiredKind === 'timeout';
+      this.settle(ticket, { ...details, kind: isTimeout ? 'timeout' : 'overloaded' });
+    }
   }
 
   private settle(ticket: SlotTicket, result: SlotResult): void {
--- a/packages/gateway/test/hosting/slot-gate.test.ts
+++ b/packages/gateway/test/hosting/slot-gate.test.ts
@@ -7,6 +7,7 @@
 const CONCURRENCY = SLOTS + 1;
 const PATIENCE_MS = 280;
 const TIMEOUT_MS = 800;
+const MAX_RETRY_AFTER_MS = 2000;
 
 describe('SlotGate', () => {
   let clock: ManualClock;
@@ -80,6 +81,65 @@
       }
       await advance(10);
     }
-    expect(await waiting).toEqual({ kind: 'overloaded', retryAfterMs: PATIENCE_MS });
+    const result = await waiting;
+    if (result.kind !== 'overloaded') throw new Error(result.kind);
+    expect(result.cause).toBe('deadline');
+    const excessMs = result.estimatedWaitMs - PATIENCE_MS;
+    expect(excessMs).toBeGreaterThan(0);
+    expect(result.retryAfterMs).toBe(Math.min(MAX_RETRY_AFTER_MS, excessMs));
+  });
+
+  /**
+   * Load pattern: a member takes seven times as long, 270 ms and more for a statement. If slots were
+   * released after a fixed 150 ms, it would get more statements than it runs, and refuse some.
+   */
+  it('keeps a slot occupied until the reply of a slow member', async () => {
+    // Its statements took 60 ms before.
+    for (let round = 0; round < 20; round += 1) {
+      const results = await fill();
+      await advance(60);
+      for (const result of results) if (result.kind === 'granted') result.release();
+    }
+    const slow = await fill();
+    const next = acquire();
+    await advance(270);
+    expect(gate.pending).toBe(CONCURRENCY + 1);
+    const [first] = slow;
+    if (first?.kind === 'granted') first.release();
+    expect((await next).kind).toBe('granted');
+  });
+
+  it('is not blocked by a slow member that stops replying', async () => {
+    for (let round = 0; round < 20; round += 1) {
+      const results = await fill();
+      await advance(700);
+      for (const result of results) if (result.kind === 'granted') result.release();
+    }
+    await fill();
+    await advance(1999);
+    expect(gate.pending).toBe(CONCURRENCY);
+    await advance(2);
+    expect(gate.pending).toBe(0);
+  });
+
+  it('learns from the late reply to a statement whose slot was released', async () => {
+    const late = await fill();
+    await advance(200);
+    expect(gate.pending).toBe(0);
+    await advance(100);
+    for (const result of late) if (result.kind === 'granted') result.release();
+    await fill();
+    // 300 ms for each statement are known now.
+    await advance(1000);
+    expect(gate.pending).toBe(CONCURRENCY);
+  });
+
+  it('does not take lost replies for a slow member', async () => {
+    const lost = await fill();
+    await advance(500);
+    for (const result of lost) if (result.kind === 'granted') result.release(false);
+    await fill();
+    await advance(200);
+    expect(gate.pending).toBe(0);
   });
 });
