--- a/packages/gateway/src/hosting/hosting-tasks.ts
+++ b/packages/gateway/src/hosting/hosting-tasks.ts
@@ -12,6 +12,7 @@
 import { MemberAccessRouter } from './member-access-router.js';
 import { MemberHostServer } from './member-host-server.js';
 import { WarmupGate } from './warmup-gate.js';
+import { SlotMonitor } from './slot-monitor.js';
 
 /** Weight of an organisation without a rate, in requests per second. */
 const MIN_ORGANISATION_WEIGHT = 1;
@@ -52,7 +53,10 @@
       clock,
       random,
       (organisation) => this.findWeight(organisation),
-      new WarmupGate(memberRegistry.warmups, random),
+      {
+        warmupGate: new WarmupGate(memberRegistry.warmups, random),
+        observer: new SlotMonitor(memberRegistry, metrics, log),
+      },
     );
     this.local = local;
     this.server = new MemberHostServer(hub, local, memberRegistry, view, clock, log);
