Pause before statements with many commands, and notice lost connections while others open

Cause: soak runs with cold restarts of primaries and whole groups. Change: a statement with more than four commands waits for the tokens of the others first, or is refused; a pool counts only its open connections.

--- a/packages/core/src/hosting/warmup-budget.ts
+++ b/packages/core/src/hosting/warmup-budget.ts
@@ -8,6 +8,12 @@
 const MAX_SHARE_SUM = HOST_SHARE + 2 * REDUCED_SHARE;
 /** Time within which the previous host learns that another instance is the first in the list. */
 const NEW_HOST_PERIOD_MS = 2000;
+/**
+ * Commands that may be sent at once: a statement with its session's values. The tolerated excess over
+ * the pace (slack of 5) covers them. Further ones are preceded by a pause for their tokens, in addition
+ * to the pause after the statement, so that no second around it holds more than the pace and these.
+ */
+const MAX_COMMANDS_AT_ONCE = 4;
 /** A member that receives nothing at all could not be probed by statements. */
 const MIN_REQUESTS_PER_SECOND = 1;
 
@@ -118,7 +124,7 @@
    * @returns when the statement may be sent; a refusal reserves nothing
    */
   reserve(share: WarmupShare, maxWaitMs: number, now: Milliseconds, cost = 1): WarmupDecision {
-    const decision = this.check(share, maxWaitMs, now);
+    const decision = this.check(share, maxWaitMs, now, cost);
     if (decision.kind === 'granted') {
       this.lastAt = toMilliseconds(now + decision.delayMs);
       this.lastCost = cost;
@@ -133,9 +139,11 @@
    * @param share - share of this instance now
    * @param maxWaitMs - maximum wait for the token, in milliseconds
    * @param now - current time
+   * @param cost - commands that are sent to the member together with the statement, including it
    */
-  check(share: WarmupShare, maxWaitMs: number, now: Milliseconds): WarmupDecision {
-    const delayMs = this.findNext(share, now) - now;
+  check(share: WarmupShare, maxWaitMs: number, now: Milliseconds, cost = 1): WarmupDecision {
+    const advanceMs = Math.max(0, cost - MAX_COMMANDS_AT_ONCE) * share.intervalMs;
+    const delayMs = this.findNext(share, now) + advanceMs - now;
     return delayMs <= Math.max(0, maxWaitMs)
       ? { kind: 'granted', delayMs }
       : { kind: 'refused', retryAfterMs: delayMs };
--- a/packages/core/test/units/warmup-budget.test.ts
+++ b/packages/core/test/units/warmup-budget.test.ts
@@ -144,6 +144,25 @@
     expect(budget.reserve(asHost, 0, later)).toEqual({ kind: 'granted', delayMs: 0 });
   });
 
+  it.each([2, 4, 8, 25])(
+    'stay within the limit with %i commands each (guards against sessions with many values)',
+    (cost) => {
+      for (const pace of PACES) {
+        const clock = new ManualClock();
+        const budget = new WarmupBudget(clock.now());
+        const arrivals: Arrival[] = [];
+        for (; clock.now() < 10_000; clock.advance(2)) {
+          const share = computeWarmupShare(pace, HOST, toMilliseconds(WARMUP_MS), clock.now());
+          const decision = budget.reserve(share, 800, clock.now(), cost);
+          if (decision.kind === 'refused') continue;
+          const at = clock.now() + decision.delayMs;
+          for (let count = 0; count < cost; count += 1) arrivals.push({ at, sender: 0 });
+        }
+        expect(countBusiestSecond(arrivals)).toBeLessThanOrEqual(pace + SLACK);
+      }
+    },
+  );
+
   it('reserve nothing when they are refused (guards against refusals that use up the pace)', () => {
     const budget = new WarmupBudget(toMilliseconds(0));
     const share = { intervalMs: 100 };
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -237,7 +237,9 @@
     if (index >= 0) this.idle.splice(index, 1);
     const isAtLimit = error?.code === 'connection-limit';
     const hasFailed = !connection.isOrderlyClosed && !isAtLimit && !this.isClosed;
-    if (hasFailed && this.size === 0) this.listener.onReachable?.(this.entry, false);
+    // A connection that is being opened may reach the member after its restart.
+    const hasOpen = this.idle.length + this.busy.size > 0;
+    if (hasFailed && !hasOpen) this.listener.onReachable?.(this.entry, false);
     if (wasOpening) this.handleOpenFailure(error);
     else this.serveQueue();
   }
