--- a/packages/gateway/src/sessions/admission.ts
+++ b/packages/gateway/src/sessions/admission.ts
@@ -23,6 +23,12 @@
  */
 const MIN_RATE_WAIT_MS = 150;
 
+/**
+ * Only routes of the highest priority, 0, get the tokens of an organisation first. Settings without such
+ * routes ask for no preference: their requests are admitted in the order of their arrival.
+ */
+const ORDINARY_PRIORITY = 1;
+
 /** Services needed to admit operations. */
 export interface AdmissionServices {
   readonly view: FleetView;
@@ -52,7 +58,7 @@
     if ('code' in grant || grant.organisation === undefined) return grant;
     try {
       await this.services.limits.admit(grant.organisation, {
-        priority: grant.route.priority,
+        priority: Math.min(grant.route.priority, ORDINARY_PRIORITY),
         maxWaitMs: Math.max(MIN_RATE_WAIT_MS, grant.route.targetLatencyMs * MAX_RATE_WAIT_RATIO),
       });
     } catch (error) {
