Limit what callers and peers make a gateway hold, and keep descriptors for members

Texts in progress are copied for members, and the copies were not counted; the number of connections was not bounded; each link could hold a frame of 8 MiB, before its handshake too. A large message is received and handled only with a reservation; its caller is not read from until there is room; messages below 16 KiB never wait. Connections that owe bytes and move fewer than 100 a second for 30 s are closed. The hub counts incomplete frames. The buffer of an incomplete line does not grow beyond the longest line.

--- a/packages/daemon/src/peers/peer-hub-types.ts
+++ b/packages/daemon/src/peers/peer-hub-types.ts
@@ -1,4 +1,5 @@
-import type { InstanceId, InstanceRecord } from '@heatherledge/core';
+import type { Socket } from 'node:net';
+import type { InstanceId, InstanceRecord, MemoryBudget } from '@heatherledge/core';
 import type { PeerLink } from './peer-link.js';
 import type { PeerBody, PeerBodyOf, PeerMessageKind } from './peer-messages.js';
 
@@ -29,6 +30,27 @@
   readonly port: number;
 }
 
+/** Decides which connections of other instances are kept. */
+export interface LinkGuard {
+  /** @returns whether a connection that was just accepted is kept; one that is not has been closed */
+  admit(socket: Socket): boolean;
+  /**
+   * Records that the handshake of a connection is done.
+   *
+   * @param isExpecting - whether the other instance has begun a message that it has not ended
+   */
+  recordEstablished(socket: Socket, isExpecting: () => boolean): void;
+  /** Stops checking connections. */
+  stop(): void;
+}
+
+/** Limits of what other instances make this one hold. */
+export interface PeerHubLimits {
+  /** Memory of the frames that have not arrived as a whole, and of those that are not sent. */
+  readonly budget: MemoryBudget;
+  readonly guard: LinkGuard;
+}
+
 /** Counters for metrics and the state dump; bytes are added when a link closes. */
 export interface PeerCounts {
   bytesSent: number;
--- a/packages/daemon/src/peers/peer-hub.ts
+++ b/packages/daemon/src/peers/peer-hub.ts
@@ -1,6 +1,7 @@
-import type { AddressInfo } from 'node:net';
 import type { InstanceId } from '@heatherledge/core';
-import { WebSocket, WebSocketServer } from 'ws';
+import { WebSocket } from 'ws';
+import type { LinkMemory } from './link-memory.js';
+import { LinkServer } from './link-server.js';
 import { type EnvelopeNumbers, IncompleteMessageMemory } from './message-parts.js';
 import {
   MAX_PEER_FRAME_BYTES,
@@ -15,6 +16,7 @@
   formatPeerUrl,
   type PeerAddress,
   type PeerHandler,
+  type PeerHubLimits,
   type PeerProblemListener,
   type PeerResolver,
 } from './peer-hub-types.js';
@@ -43,7 +45,7 @@
 
   private readonly linkClosedListeners: ((link: PeerLink) => void)[] = [];
 
-  private server: WebSocketServer | undefined;
+  private server: LinkServer | undefined;
 
   private idleCheckTimer: NodeJS.Timeout | undefined;
 
@@ -51,11 +53,13 @@
    * @param identity - this instance and the fleet's secret
    * @param resolvePeer - finds the address of an instance
    * @param onProblem - receives messages that could not be decoded or handled
+   * @param limits - limits of what other instances make this one hold; none by default
    */
   constructor(
     private readonly identity: PeerLinkIdentity,
     private readonly resolvePeer: PeerResolver,
     private readonly onProblem: PeerProblemListener = () => {},
+    private readonly limits?: PeerHubLimits,
   ) {}
 
   /**
@@ -66,17 +70,12 @@
    * @throws the system's error if the address is in use
    */
   async start(address: PeerAddress): Promise<number> {
-    const server = new WebSocketServer({ ...address, maxPayload: MAX_PEER_FRAME_BYTES });
-    this.server = server;
-    server.on('connection', (socket) => {
-      this.accepted.add(this.createLink(socket, false));
-    });
-    await new Promise((resolve, reject) => {
-      server.once('listening', resolve);
-      server.once('error', reject);
+    this.server = new LinkServer(this.limits, (socket, held) => {
+      this.accepted.add(this.createLink(socket, false, held));
     });
+    const port = await this.server.start(address);
     this.idleCheckTimer = setInterval(() => this.closeIdleLinks(), IDLE_CHECK_INTERVAL_MS);
-    return (server.address() as AddressInfo).port;
+    return port;
   }
 
   /** Closes all links and stops listening; pending requests resolve to undefined. */
@@ -84,7 +83,7 @@
     clearInterval(this.idleCheckTimer);
     for (const { link } of this.links.values()) link.close();
     for (const link of this.accepted) link.close();
-    this.server?.close();
+    this.server?.stop();
     this.pendingRequests.loseAll();
   }
 
@@ -267,8 +266,8 @@
     return outbound;
   }
 
-  private createLink(socket: WebSocket, isInitiator: boolean): PeerLink {
-    return new PeerLink(socket, this.identity, this, isInitiator, this.incompleteMessages);
+  private createLink(socket: WebSocket, isInitiator: boolean, held?: LinkMemory): PeerLink {
+    return new PeerLink(socket, this.identity, this, isInitiator, this.incompleteMessages, held);
   }
 
   /** Ends a request that still waits for its link, so that it is not sent once the link opens. */
--- a/packages/daemon/src/peers/peer-link.ts
+++ b/packages/daemon/src/peers/peer-link.ts
@@ -3,6 +3,7 @@
 import { toBrand } from '@heatherledge/core';
 import { Packr } from 'msgpackr';
 import { WebSocket } from 'ws';
+import type { LinkMemory } from './link-memory.js';
 import {
   decodePartFrame,
   type EnvelopeNumbers,
@@ -91,6 +92,7 @@
    * @param listener - receives the link's events
    * @param isInitiator - whether this instance opened the connection
    * @param memory - memory for the incomplete messages of all links
+   * @param held - counts what the link holds; undefined if it is not limited
    */
   constructor(
     private readonly socket: WebSocket,
@@ -98,6 +100,7 @@
     private readonly listener: PeerLinkListener,
     private readonly isInitiator: boolean,
     memory: IncompleteMessageMemory,
+    private readonly held?: LinkMemory,
   ) {
     this.outgoing = new OutgoingParts(
       (frame, onWritten) => this.writePart(frame, onWritten),
@@ -106,6 +109,7 @@
     this.incoming = new IncomingParts(memory, (message, numbers) =>
       this.writePart({ frame: 'parts.refused', message, ...numbers }),
     );
+    if (held !== undefined) held.onExceeded = (reason) => this.refuse(reason);
     this.handshakeTimer = setTimeout(
       () => this.refuse('handshake took too long'),
       HANDSHAKE_TIMEOUT_MS,
@@ -168,6 +172,7 @@
   }
 
   private receive(data: Buffer): void {
+    this.held?.recordMessage();
     this.bytesReceived += data.length;
     if (!this.ready && data.length > MAX_HELLO_BYTES) {
       this.refuse('the first message is too long');
@@ -247,6 +252,7 @@
 
   private finishHandshake(): void {
     this.ready = true;
+    this.held?.recordReady();
     clearTimeout(this.handshakeTimer);
     this.listener.onReady(this);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
   type InstanceRecord as PeerRecord,
   toMilliseconds,
 } from '@heatherledge/core';
-import { createRandom, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { createRandom, LimitsTask, PeerHub, type PeerHubLimits } from '@heatherledge/daemon';
 import { resolveConfirmationLimits } from './fleet/confirmation-limits.js';
 import { FailoverTasks } from './failover/failover-tasks.js';
 import { FleetViewUpdater } from './fleet/fleet-view-updater.js';
@@ -54,12 +54,12 @@
   readonly promotions: PromotionPort;
   readonly members: MemberConnector;
   readonly callers: CallerListener;
+  /** Limits of what peers make the instance hold; undefined for none. */
+  readonly peerLimits?: PeerHubLimits | undefined;
 }
 
 /** Runs one gateway instance: creates its tasks, and starts and stops them in order. */
 export class Gateway {
-  readonly metrics = new GatewayMetrics();
-
   private readonly random = createRandom();
 
   private readonly view: FleetView;
@@ -91,6 +91,7 @@
     private readonly ports: GatewayPorts,
     private readonly clock: SuspensionAwareClock,
     private readonly log: EventLog,
+    readonly metrics: GatewayMetrics = new GatewayMetrics(),
   ) {
     const { instance, maxKeyRevocationDelayMs, host, peerPort, failureDomain } = settings;
     const confirmationLimits = resolveConfirmationLimits(maxKeyRevocationDelayMs);
@@ -112,6 +113,7 @@
       identity,
       (id) => this.findPeer(id),
       (problem) => log.warn('peer.problem', problem),
+      ports.peerLimits,
     );
     this.limits = new LimitsTask(
       instance,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,8 @@
 export * from './runtime/gateway-metrics.js';
 export * from './runtime/suspension-aware-clock.js';
 export * from './sessions/caller-session.js';
+export * from './sessions/connection-guard.js';
+export * from './sessions/instance-resources.js';
 export * from './sessions/mutable-caller-state.js';
 export * from './sessions/session-context.js';
 export * from './sessions/transaction.js';
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -32,6 +32,27 @@
     registers: [this.registry],
   });
 
+  readonly connectionsRefused = new Counter({
+    name: 'heatherledge_gateway_connections_refused_total',
+    help: 'Connections that callers or peers opened and that were closed at a limit or as slow, by reason.',
+    labelNames: ['side', 'reason'] as const,
+    registers: [this.registry],
+  });
+
+  readonly guardedConnections = new Gauge({
+    name: 'heatherledge_gateway_open_connections',
+    help: 'Open connections that callers or peers opened.',
+    labelNames: ['side'] as const,
+    registers: [this.registry],
+  });
+
+  readonly heldBytes = new Gauge({
+    name: 'heatherledge_gateway_held_bytes',
+    help: 'Memory charged for callers, peers and replies of members, in bytes.',
+    labelNames: ['holder'] as const,
+    registers: [this.registry],
+  });
+
   readonly memberConnections = new Counter({
     name: 'heatherledge_gateway_member_connections_total',
     help: 'Connections opened to members, by outcome.',
@@ -65,6 +86,9 @@
     registers: [this.registry],
   });
 
+  /** Updates gauges that are read rather than set; called before the metrics are sent. */
+  onCollect: () => void = () => {};
+
   private server: Server | undefined;
 
   /**
@@ -81,6 +105,7 @@
         response.end(JSON.stringify(describe()));
         return;
       }
+      this.onCollect();
       void this.registry.metrics().then((text) => {
         response.setHeader('content-type', this.registry.contentType);
         response.end(text);
