--- a/packages/gateway/src/sessions/instance-resources.ts
+++ b/packages/gateway/src/sessions/instance-resources.ts
@@ -9,6 +9,8 @@
   readonly maxMemoryBytes: number;
   /** Descriptors that the process may have open. */
   readonly maxDescriptors: number;
+  /** Part of the callers' or peers' descriptors that one source address may use. */
+  readonly addressShare: number;
   /** When a connection on which bytes are expected is closed. */
   readonly progress: ProgressLimits;
 }
@@ -30,8 +32,6 @@
  */
 const CALLER_DESCRIPTOR_RATIO = 0.5;
 const PEER_DESCRIPTOR_RATIO = 0.15;
-/** Part of the callers' or peers' descriptors that one source address may use. */
-const MAX_ADDRESS_DESCRIPTOR_RATIO = 0.5;
 
 /** The account of what callers, peers and members make an instance hold, and the guards of its connections. */
 export class InstanceResources {
@@ -70,10 +70,10 @@
     log: EventLog,
     metrics: GatewayMetrics,
   ): ConnectionGuard {
-    const { maxDescriptors, progress } = this.limits;
+    const { maxDescriptors, addressShare, progress } = this.limits;
     const ratio = side === 'callers' ? CALLER_DESCRIPTOR_RATIO : PEER_DESCRIPTOR_RATIO;
     const maxConnections = Math.floor(maxDescriptors * ratio);
-    const maxPerAddress = Math.max(1, Math.floor(maxConnections * MAX_ADDRESS_DESCRIPTOR_RATIO));
+    const maxPerAddress = Math.max(1, Math.floor(maxConnections * addressShare));
     const limits = { maxConnections, maxPerAddress, progress };
     const budget = side === 'callers' ? this.callerBudget : this.peerBudget;
     return new ConnectionGuard(side, limits, { clock, log, metrics }, budget);
