Take a lender for silent after two requests, and borrow in advance with the least urgent priority

One late answer, as over a link that is being opened, shut a lender out for 2 s, and tokens borrowed in advance counted as urgent demand, for which lenders kept tokens back. Change: two unanswered requests in a row make a lender silent; advance requests carry the least urgent priority.

--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -89,6 +89,9 @@
 
   private readonly reserve = new UrgencyReserve();
 
+  /** Priority with which tokens are borrowed in advance, for requests that are not known yet. */
+  private leastUrgentPriority = 0;
+
   /** The most urgent first, and those of one priority in the order of their arrival. */
   private waiting: WaitingRequest[] = [];
 
@@ -140,6 +143,7 @@
    */
   addRequest(now: Milliseconds, urgency = DEFAULT_URGENCY): AdmissionTicket | undefined {
     const { priority } = urgency;
+    this.leastUrgentPriority = Math.max(this.leastUrgentPriority, priority);
     this.limiter.recordDemand(now);
     this.reserve.recordDemand(priority, 1, now);
     const behind = this.waiting.findIndex((other) => other.priority > priority);
@@ -289,7 +293,7 @@
 
   private createLoanRequests(now: Milliseconds): LoanRequest[] {
     if (this.lenders.hasRecentRequest(now)) return [];
-    const priority = this.waiting[0]?.priority ?? 0;
+    const priority = this.waiting[0]?.priority ?? this.leastUrgentPriority;
     // Less urgent requests get a loan request of their own, since the lender treats them differently.
     const waiting = this.waiting.filter((request) => request.priority === priority).length;
     const shortfall = this.limiter.computeShortfall(waiting, now);
--- a/packages/core/src/limits/lender-tracker.ts
+++ b/packages/core/src/limits/lender-tracker.ts
@@ -10,8 +10,8 @@
   /** Time for which no loan request is sent to a lender that had nothing to lend. */
   readonly emptyLenderDelayMs: Milliseconds;
   /**
-   * Time for which no loan request is sent to a lender that did not answer the last one;
-   * `emptyLenderDelayMs` if left out.
+   * Time for which no loan request is sent to a lender that did not answer the last two;
+   * `emptyLenderDelayMs` if left out. One answer may be late because the link was being opened.
    */
   readonly silentLenderDelayMs?: Milliseconds;
   /**
@@ -21,6 +21,9 @@
   readonly lateResponseMs?: Milliseconds;
 }
 
+/** Loan requests without an answer after which a lender counts as silent. */
+const MIN_UNANSWERED = 2;
+
 /** A loan request without an answer yet. */
 export interface PendingLoanRequest {
   readonly lender: InstanceId;
@@ -34,8 +37,8 @@
   readonly updatedAt: Milliseconds;
   /** Priority of the request that it answered. */
   readonly priority: number;
-  /** Whether the last loan request was not answered. */
-  readonly isSilent: boolean;
+  /** Number of loan requests in a row that were not answered. */
+  readonly unanswered: number;
 }
 
 /** Tracks the lenders of one organisation's tokens, and the loan requests that wait for answers. */
@@ -107,7 +110,7 @@
     // A lender that granted nothing gets no request for a while, even if it holds a fraction.
     const spare = offer.loan === undefined ? 0 : offer.spare;
     const { lender, priority } = request;
-    this.states.set(lender, { spare, updatedAt: now, priority, isSilent: false });
+    this.states.set(lender, { spare, updatedAt: now, priority, unanswered: 0 });
     return request;
   }
 
@@ -116,7 +119,8 @@
     for (const [requestId, { lender, priority, sentAt }] of this.pending) {
       if (now - sentAt < this.rules.loanRequestTimeoutMs) continue;
       this.pending.delete(requestId);
-      this.states.set(lender, { spare: 0, updatedAt: now, priority, isSilent: true });
+      const unanswered = (this.states.get(lender)?.unanswered ?? 0) + 1;
+      this.states.set(lender, { spare: 0, updatedAt: now, priority, unanswered });
     }
   }
 
@@ -150,7 +154,7 @@
     const { emptyLenderDelayMs, silentLenderDelayMs = emptyLenderDelayMs } = this.rules;
     if (state === undefined || state.spare > 0) return true;
     const ageMs = now - state.updatedAt;
-    if (state.isSilent) return ageMs >= silentLenderDelayMs;
+    if (state.unanswered >= MIN_UNANSWERED) return ageMs >= silentLenderDelayMs;
     // A lender that keeps its tokens for more urgent requests may have some for this one.
     return priority < state.priority || ageMs >= emptyLenderDelayMs;
   }
