Count a member as cold whose host could not reach it

An instance without a connection to a member took it for warm when its first connection was opened after a restart, until the entry arrived. Hosts and standbys that refuse a request as unreachable are passed over for a second, so the next instance can be the first to reach the restarted member, and sent it the full load: 400 statements in the first second of the new test, at a limit of 10.

A request that goes to the next instance, or to this instance's own connections, now says that a host could not reach the member. An instance without an open connection counts that like failed connections of its own. A host that does not respond is not such a report: it says nothing about the member. Groups without a warm-up are not affected.

--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -33,6 +33,8 @@
   /** The request is refused if the expected wait for a connection is longer. */
   patienceMs: z.number(),
   priority: z.number(),
+  /** Whether an instance that was asked before could not reach the member; absent if it could. */
+  wasUnreachable: z.boolean().optional(),
 };
 
 /** Fields of a statement for a member. */
--- a/packages/gateway/src/hosting/host-messages.ts
+++ b/packages/gateway/src/hosting/host-messages.ts
@@ -22,7 +22,15 @@
 /** The fields of a message that describe the connection which a request needs. */
 export type EncodedConnectionRequest = Pick<
   PeerBodyOf<'statement.run'>,
-  'member' | 'organisation' | 'key' | 'values' | 'timeoutMs' | 'patienceMs' | 'priority' | 'waitFor'
+  | 'member'
+  | 'organisation'
+  | 'key'
+  | 'values'
+  | 'timeoutMs'
+  | 'patienceMs'
+  | 'priority'
+  | 'waitFor'
+  | 'wasUnreachable'
 >;
 
 type EncodedPosition = NonNullable<PeerBodyOf<'statement.run'>['waitFor']>;
@@ -41,6 +49,7 @@
     patienceMs: maxEstimatedWaitMs,
     priority,
     waitFor,
+    wasUnreachable: request.wasUnreachable,
   };
 }
 
@@ -58,6 +67,7 @@
     maxEstimatedWaitMs: patienceMs,
     priority,
     waitFor: waitFor && decodePosition(waitFor),
+    wasUnreachable: body.wasUnreachable,
   };
 }
 
@@ -160,7 +170,8 @@
 }
 
 function decodeRefusal({ refusal, reply }: PeerBodyOf<'member.result'>): AccessRefusal {
-  return createRefusal(refusal ?? 'closed', reply?.error?.code, reply?.error?.text);
+  const refused = createRefusal(refusal ?? 'closed', reply?.error?.code, reply?.error?.text);
+  return refusal === 'unreachable' ? { ...refused, isReportedUnreachable: true } : refused;
 }
 
 function decodePosition({ term, position }: EncodedPosition): TermPosition {
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -73,6 +73,7 @@
     const startedAt = this.clock.now();
     const gate = this.memberRegistry.findSlotGate(request.member);
     if (gate === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
+    this.recordUnreachable(request);
     const admitted =
       this.warmupGate?.findRefusal(request) ?? (await this.admission.acquireSlot(gate, request));
     if (admitted.kind === 'refused') return admitted;
@@ -94,6 +95,7 @@
     if (gate === undefined || maxConnections === undefined) {
       return createRefusal('closed', 'busy', 'the member is not listed');
     }
+    this.recordUnreachable(request);
     const coldRefusal = this.warmupGate?.findRefusal(request);
     if (coldRefusal !== undefined) return coldRefusal;
     const permit = gate.acquireTransaction(credentials.organisation, maxConnections);
@@ -198,6 +200,11 @@
     return result;
   }
 
+  /** Records what the request's previous host reported, before a connection to the member is opened. */
+  private recordUnreachable({ member, wasUnreachable }: ConnectionRequest): void {
+    if (wasUnreachable === true) this.memberRegistry.recordUnreachableElsewhere(member);
+  }
+
   /** Acquires a connection for a request that holds a slot, and checks the request once more. */
   private async acquire(
     request: ConnectionRequest,
--- a/packages/gateway/src/hosting/member-access-router.ts
+++ b/packages/gateway/src/hosting/member-access-router.ts
@@ -85,21 +85,23 @@
   ): Promise<Result | AccessRefusal> {
     const { member, credentials, timeoutMs } = request;
     const deadline = this.clock.now() + timeoutMs;
+    let wasUnreachable: boolean | undefined;
     for (;;) {
       const entry = this.memberRegistry.findEntry(member);
       if (entry === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
       if (!this.directory.regions.mayReachMember(entry, request.allowedRegions)) {
         return createRefusal('closed', 'busy', 'the member is outside the allowed regions');
       }
-      const remaining = { ...request, timeoutMs: deadline - this.clock.now() };
+      const remaining = { ...request, timeoutMs: deadline - this.clock.now(), wasUnreachable };
       const host = this.directory.findHost(entry, request.allowedRegions);
       if (host === this.self) return call(this.local, remaining);
       const result = await call(this.getRemote(host), remaining);
       if (result.kind !== 'refused' || !this.mayServeElsewhere(result, credentials)) return result;
       const { reason, text } = result;
+      if (result.isReportedUnreachable === true) wasUnreachable = true;
       // Says nothing about the host, which goes on to serve others.
       if (reason === 'too-large') {
-        return call(this.local, { ...request, timeoutMs: deadline - this.clock.now() });
+        return call(this.local, { ...remaining, timeoutMs: deadline - this.clock.now() });
       }
       const isNew = this.directory.recordUnservedMember(host, member);
       if (isNew) this.log.info('host.member.unserved', { host, member, reason, text });
--- a/packages/gateway/src/hosting/member-access.ts
+++ b/packages/gateway/src/hosting/member-access.ts
@@ -21,6 +21,8 @@
   readonly waitFor: TermPosition | undefined;
   /** Regions whose instances may get the request; undefined for all. Hosts do not receive it. */
   readonly allowedRegions?: AllowedRegions | undefined;
+  /** Whether a host that got the request before could not reach the member, which may have restarted. */
+  readonly wasUnreachable?: boolean | undefined;
 }
 
 /** A statement outside transactions. */
@@ -54,6 +56,8 @@
   readonly reason: RefusalReason;
   readonly code: ErrorCode;
   readonly text: string;
+  /** Whether the host reported that it cannot reach the member; not set if the host did not respond. */
+  readonly isReportedUnreachable?: boolean | undefined;
 }
 
 /** How a statement outside transactions ended. */
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -115,6 +115,11 @@
     return this.idle.length + this.busy.size + this.opening.size;
   }
 
+  /** @returns whether the member has accepted a connection that is still open */
+  get hasOpenConnection(): boolean {
+    return this.idle.length + this.busy.size > 0;
+  }
+
   /** @returns whether an idle connection for an organisation exists */
   hasIdle(organisation: OrganisationId | undefined): boolean {
     return this.idle.some((connection) => connection.organisation === organisation);
@@ -264,8 +269,7 @@
     const isAtLimit = error?.code === 'connection-limit';
     const hasFailed = !connection.isOrderlyClosed && !isAtLimit && !this.isClosed;
     // A connection that is being opened may reach the member after its restart.
-    const hasOpen = this.idle.length + this.busy.size > 0;
-    if (hasFailed && !hasOpen) this.listener.onReachable?.(this.entry, false);
+    if (hasFailed && !this.hasOpenConnection) this.listener.onReachable?.(this.entry, false);
     if (wasOpening) this.handleOpenFailure(error);
     else this.serveQueue();
   }
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -212,6 +212,16 @@
     state.avoidUntil = toMilliseconds(this.clock.now() + UNREACHABLE_TTL_MS);
   }
 
+  /**
+   * Records that another instance could not reach a member. It may restart before this instance opens
+   * its first connection, and that connection alone would not show the restart.
+   */
+  recordUnreachableElsewhere(member: MemberId): void {
+    const state = this.states.get(member);
+    if (state === undefined || state.pool.hasOpenConnection) return;
+    this.warmups.recordReachable(state.entry, false);
+  }
+
   /** Records a reply that arrived through the member's host. */
   recordReply(member: MemberId, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void {
     const state = this.states.get(member);
--- a/packages/gateway/test/hosting/cold-members.test.ts
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -152,6 +152,36 @@
     expect(fleet.arrivals.length).toBeGreaterThan(PACE);
   });
 
+  it('counts as cold at a standby that is asked because the host could not reach it (guards against the full load on the first connection after a restart)', async () => {
+    const ids = ['i0', 'i1'];
+    const [, standby] = findHosts(startAll(ids, WARM)) as [WarmupInstance, WarmupInstance];
+    await advance(3000);
+    // The standby has had no connection that could have failed.
+    expect(standby.connector.channels).toEqual([]);
+    const load = (): void => {
+      void standby.access.run(createRead({ wasUnreachable: true }));
+      void standby.access.run(createRead());
+    };
+    await advance(1000, load);
+    expect(fleet.arrivals.length).toBeLessThanOrEqual(PACE);
+    expect(standby.changes).toEqual(['cold']);
+    fleet.publish({ instances: ids, entry: { ...WARM, sequence: 2 } });
+    await advance(400, load);
+    fleet.publish({ instances: ids, entry: { ...WARM, sequence: 3 } });
+    await advance(100, load);
+    expect(standby.changes).toEqual(['cold', 'warm']);
+  });
+
+  it('is not cold at an instance with an open connection that is told of another that could not reach it (guards against limits after the failure of one link)', async () => {
+    const ids = ['i0', 'i1'];
+    const [, standby] = findHosts(startAll(ids, WARM)) as [WarmupInstance, WarmupInstance];
+    const load = (): void => void standby.access.run(createRead());
+    await advance(500, load);
+    void standby.access.run(createRead({ wasUnreachable: true }));
+    await advance(500, load);
+    expect(standby.changes).toEqual([]);
+  });
+
   it('is warm again after a failure of the link alone (guards against a slow member after a lost link)', async () => {
     const [host] = startAll(['i0'], WARM) as [WarmupInstance];
     const load = offerLoad([host]);
--- a/packages/gateway/test/hosting/member-access-router.test.ts
+++ b/packages/gateway/test/hosting/member-access-router.test.ts
@@ -57,6 +57,8 @@
   let ownRefusal: ErrorCode | undefined;
   /** Instances that statements were sent to, in order; the own instance is `local`. */
   let calls: string[];
+  /** For each statement in `calls`, whether it said that a host could not reach the member. */
+  let reports: (boolean | undefined)[];
   let respond: (host: InstanceId) => StatementResult | PeerExchange;
 
   /** The host and the standby, seen by an instance that is neither. */
@@ -65,6 +67,7 @@
   beforeEach(() => {
     clock = new ManualClock(1000);
     calls = [];
+    reports = [];
     ownRefusal = undefined;
     respond = () => SERVED;
     const limit = toMilliseconds(1000);
@@ -103,6 +106,7 @@
       handle() {},
       exchange: async (to: InstanceId, body: PeerBody): Promise<PeerExchange> => {
         calls.push(to);
+        if (body.kind === 'statement.run') reports.push(body.wasUnreachable);
         if (body.kind === 'peer.ping') return { kind: 'lost', wasSent: true };
         const response = respond(to);
         if (response.kind === 'lost' && 'wasSent' in response && !('reason' in response)) {
@@ -112,8 +116,9 @@
       },
     } as unknown as PeerHub;
     const local: MemberAccess = {
-      run: async () => {
+      run: async ({ wasUnreachable }) => {
         calls.push('local');
+        reports.push(wasUnreachable);
         return SERVED;
       },
       begin: async () => createRefusal('closed'),
@@ -169,6 +174,23 @@
     });
   });
 
+  // Guards against the full load on a member that restarted before the next host connected to it.
+  it('tells the next host that the first one cannot reach the member', async () => {
+    respond = () => createRefusal('unreachable');
+    await router.run(createStatementRequest());
+    expect(calls).toEqual([...hosts, 'local']);
+    expect(reports).toEqual([undefined, true, true]);
+  });
+
+  // Guards against cold members at each standby that takes over from a host.
+  it('does not report a host that cannot be reached itself, or refuses for another reason', async () => {
+    respond = (host) =>
+      host === hosts[0] ? { kind: 'lost', wasSent: false } : createRefusal('stale-key');
+    await router.run(createStatementRequest());
+    expect(calls).toEqual([...hosts, 'local']);
+    expect(reports).toEqual([undefined, undefined, undefined]);
+  });
+
   it('accepts the refusal of a key that this instance refuses, too', async () => {
     ownRefusal = 'key-rejected';
     respond = () => createRefusal('key', 'key-rejected');
