Record switchovers to better regions, so that a new coordinator waits for 30 s

The time of the last misplaced switchover was known only to the coordinator that began it. After a failed switchover, the next coordinator could try again after 2 s instead of 30 s, each time with an interruption of writes. Changes with another cause do not count, so that the primary returns after 2 s when a crash has moved it. The unit tests of the check and of the monitor pass; without the observation of records, the new test counts a switchover within 29 s.

--- a/packages/gateway/src/failover/misplacement-check.ts
+++ b/packages/gateway/src/failover/misplacement-check.ts
@@ -39,13 +39,16 @@
 }
 
 /**
- * Finds primaries in a region that fewer routes allow than that of another member. Runs on the coordinator.
+ * Finds primaries in a region that fewer routes allow than that of another member. The coordinator moves them.
  */
 export class MisplacementCheck {
   private readonly tracker = new MisplacementTracker(MISPLACEMENT_TIMINGS);
 
   private readonly nextCheckAt = new Map<GroupId, Milliseconds>();
 
+  /** Epochs of the primary records that were seen. */
+  private readonly seenEpochs = new Map<GroupId, number>();
+
   constructor(private readonly services: MisplacementServices) {}
 
   /** Forgets what was seen in an earlier term as the coordinator. */
@@ -53,6 +56,21 @@
     this.tracker.clear();
   }
 
+  /**
+   * Takes the time of a switchover to a better region from the group's record, as every instance sees it,
+   * so that a new coordinator does not move the primary again too soon. To be called on all instances.
+   *
+   * @param group - the group
+   */
+  observeRecord(group: GroupId): void {
+    const record = this.services.view.primaries.get(group)?.value;
+    if (record === undefined || this.seenEpochs.get(group) === record.epoch) return;
+    this.seenEpochs.set(group, record.epoch);
+    if (record.isRegionMove === true) {
+      this.tracker.recordSwitchover(group, this.services.clock.now());
+    }
+  }
+
   /**
    * Finds out whether a planned switchover to a better region is due. The caller starts it if it is.
    *
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -74,7 +74,7 @@
     const { clock, log, view } = this.services;
     const startedAt = clock.now();
     const previous = this.findPreviousPrimary();
-    const record = await this.recordChangeStart(previous);
+    const record = await this.recordChangeStart(previous, reason);
     if (record === undefined) return false;
     log.info('primary.change.started', {
       group: this.group,
@@ -116,12 +116,14 @@
   /** Records that the group's primary is changing, if this instance is still the coordinator. */
   private async recordChangeStart(
     previous: MemberId | undefined,
+    reason: PrimaryChangeReason,
   ): Promise<StoredRecord<PrimaryRecord> | undefined> {
     const { view, memberRegistry } = this.services;
     const known = view.primaries.get(this.group);
     const { holders = [], endpoints } = known?.value ?? {};
+    const isRegionMove = reason === 'misplaced' || findResumedMove(reason, known?.value);
     const announcedEpoch = memberRegistry.primaryTracker.findSuspendedEpoch(this.group);
-    const content = { previous, holders, endpoints };
+    const content = { previous, holders, endpoints, isRegionMove };
     return writePrimaryRecord(this.services, this.group, known, content, announcedEpoch);
   }
 
@@ -137,7 +139,7 @@
       .map(({ holder }) => holder);
     const holders = [...entries.map(formatIncarnation), ...departed];
     const fields = createHolderFields(holders, entries, known?.value);
-    const content = { member, ...fields };
+    const content = { member, ...fields, isRegionMove: known?.value.isRegionMove };
     const written = await writePrimaryRecord(this.services, this.group, known, content);
     return written !== undefined;
   }
@@ -176,3 +178,12 @@
     return false;
   }
 }
+
+/** Finds whether a change that is continued was begun to move the primary to a better region. */
+function findResumedMove(
+  reason: PrimaryChangeReason,
+  known: PrimaryRecord | undefined,
+): true | undefined {
+  const isOpen = known !== undefined && known.member === undefined;
+  return reason === 'resumed' && isOpen && known.isRegionMove === true ? true : undefined;
+}
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -113,6 +113,7 @@
     }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
+      this.misplacement.observeRecord(group);
       if (lease.isHeld && !this.groupsInProgress.has(group)) void this.checkGroup(group);
     }
   }
--- a/packages/gateway/src/fleet/records.ts
+++ b/packages/gateway/src/fleet/records.ts
@@ -48,6 +48,8 @@
   member: z.string().optional(),
   /** Id of the primary before the change that is under way. */
   previous: z.string().optional(),
+  /** Whether the change moves the primary to a region that more routes allow, or did so. */
+  isRegionMove: z.boolean().optional(),
   /**
    * Incarnations of members, as `id/incarnation`, that may hold commits which no other replica
    * holds.
--- a/packages/gateway/test/units/misplacement-check.test.ts
+++ b/packages/gateway/test/units/misplacement-check.test.ts
@@ -90,6 +90,25 @@
     expect(await countSwitchovers(2000)).toBe(1);
   });
 
+  /** Guards against a new coordinator that repeats a switchover after 2 s because it did not begin the last. */
+  it('stay for 30 s after a switchover of another coordinator, also if that failed', async () => {
+    restrict(NORTH);
+    check.observeRecord(REGION_GROUP);
+    fleet.setPrimary('south', { isRegionMove: true });
+    for (let count = 0; count < 2; count += 1) check.observeRecord(REGION_GROUP);
+    expect(await countSwitchovers(29_000)).toBe(0);
+    expect(await countSwitchovers(2000)).toBe(1);
+  });
+
+  /** Guards against restricted writes that are rejected for 30 s after a primary has crashed. */
+  it('are replaced after 2 s if the last change had another cause', async () => {
+    restrict(NORTH);
+    check.observeRecord(REGION_GROUP);
+    fleet.setPrimary('south');
+    check.observeRecord(REGION_GROUP);
+    expect(await countSwitchovers(2200)).toBe(1);
+  });
+
   /** Guards against writes that stop because no replica in the better region holds the whole log. */
   it('stay until a member in the better region has caught up', async () => {
     restrict(NORTH);
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -6,6 +6,7 @@
   ManualClock,
   type MemberEntry,
   type MemberId,
+  type Route,
   toBrand,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -48,6 +49,9 @@
   let isPrimaryUp: boolean;
   let sent: { to: InstanceId; body: PeerBody }[];
   let attempts: number;
+  /** Records that the coordinator tried to write. */
+  let written: PrimaryRecord[];
+  let routes: Map<string, Pick<Route, 'group' | 'allowedRegions'>>;
   let evacuatedDomains: Map<string, Evacuation>;
   let monitor: PrimaryMonitor;
 
@@ -61,6 +65,8 @@
     coordinator = 'other/7';
     sent = [];
     attempts = 0;
+    written = [];
+    routes = new Map();
     evacuatedDomains = new Map();
     members = new Map([
       [PRIMARY, createEntry(PRIMARY, { role: 'primary' })],
@@ -76,7 +82,7 @@
       clock,
       hub,
       view: {
-        settings: { groups: new Map([[GROUP, { id: GROUP }]]), routesByDatabase: new Map() },
+        settings: { groups: new Map([[GROUP, { id: GROUP }]]), routesByDatabase: routes },
         era: 1,
         get coordinator() {
           return { value: { instance: coordinator } };
@@ -105,6 +111,7 @@
       store: {
         commit: async ({ puts }: StoreTransaction) => {
           const record = JSON.parse(`${puts[0]?.value.toString()}`) as PrimaryRecord;
+          written.push(record);
           // The record of a change names no primary.
           if (record.member === undefined) attempts += 1;
           return err({ kind: 'unavailable', reason: 'busy' });
@@ -120,6 +127,10 @@
         findPool: () => ({ computeSilenceMs: () => (isSilent ? 1000 : 0), avoidUntil: 0 }),
       },
       holderPresence: new HolderPresenceTracker(),
+      regionByDomain: new Map([
+        ['a', 'south'],
+        ['b', 'north'],
+      ]),
     } as unknown as PrimaryChangeServices;
     const metrics = { primaryChanges: { inc() {} } } as unknown as GatewayMetrics;
     monitor = new PrimaryMonitor(services, hub, metrics);
@@ -217,6 +228,25 @@
     });
   });
 
+  // Guards against other coordinators that do not learn of the switchover and repeat it after 2 s.
+  it.each([
+    ['to a region that more routes allow', true],
+    ['for another reason', undefined],
+  ])('records whether the primary moves %s', async (_, isRegionMove) => {
+    isCoordinator = true;
+    hasCaughtUp = true;
+    members.set(REPLICA, createEntry(REPLICA, { failureDomain: 'b' }));
+    if (isRegionMove === undefined) {
+      members.set(PRIMARY, createEntry(PRIMARY, { role: 'primary', isDraining: true }));
+    } else {
+      routes.set('d', { group: GROUP, allowedRegions: new Set(['north']) });
+    }
+    await advance(2500);
+    const starts = written.filter(({ member }) => member === undefined);
+    expect(starts[0]).toMatchObject({ previous: PRIMARY });
+    expect(starts[0]?.isRegionMove).toBe(isRegionMove);
+  });
+
   describe('while the primary drains', () => {
     beforeEach(() => {
       isCoordinator = true;
