Move no primary to a member that is cold

When the evacuation of the region that most routes allow ended, its members were cold, and the primary was moved to one of them after 2 s: a cold member accepts a few statements a second, so nearly all writes of the group were refused until the warm-up ended. The check of misplaced primaries now leaves out cold members, as it does draining and evacuated ones. Groups without a warm-up have none. The new test counted a switchover before; the unit tests of the check and of the monitor pass.

--- a/packages/gateway/src/failover/misplacement-check.ts
+++ b/packages/gateway/src/failover/misplacement-check.ts
@@ -11,6 +11,7 @@
   toMilliseconds,
 } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { MemberWarmups } from '../members/member-warmups.js';
 import type { MemberControl } from './member-control.js';
 
 /**
@@ -36,6 +37,8 @@
 export interface MisplacementServices extends RegionPlacementServices {
   readonly clock: Clock;
   readonly control: MemberControl;
+  /** Knows the members that have just started; without it, none counts as cold. */
+  readonly memberRegistry?: { readonly warmups: Pick<MemberWarmups, 'isCold'> } | undefined;
 }
 
 /**
@@ -89,18 +92,20 @@
     return true;
   }
 
+  /** A cold member would get all writes of the group, but accepts few statements. */
   private listBetterMembers(group: GroupId, primary: MemberEntry): MemberEntry[] {
-    const { view } = this.services;
+    const { view, memberRegistry } = this.services;
     const { settings } = view;
     if (settings === undefined || !hasRestrictedRoute(settings, group)) return [];
     const current = computeRegionDistance(this.services, group, primary.id);
     return view
       .listMembers(group)
       .filter(
-        ({ id, isDraining, failureDomain }) =>
-          !isDraining &&
-          !view.evacuatedDomains.has(failureDomain) &&
-          computeRegionDistance(this.services, group, id) < current,
+        (entry) =>
+          !entry.isDraining &&
+          !view.evacuatedDomains.has(entry.failureDomain) &&
+          memberRegistry?.warmups.isCold(entry) !== true &&
+          computeRegionDistance(this.services, group, entry.id) < current,
       );
   }
 
--- a/packages/gateway/test/units/misplacement-check.test.ts
+++ b/packages/gateway/test/units/misplacement-check.test.ts
@@ -29,6 +29,8 @@
   let fleet: RegionFleet;
   let check: MisplacementCheck;
   let services: FencingServices;
+  /** Members that have just started, or whose domain was evacuated until now. */
+  let cold: Set<string>;
   /** Log positions of members that are not caught up. */
   let behind: Set<string>;
   let commands: string[];
@@ -39,6 +41,7 @@
     fleet = new RegionFleet();
     behind = new Set();
     silent = new Set();
+    cold = new Set();
     commands = [];
     const control = {
       sendCommand: async ({ id }: MemberEntry, { kind }: { kind: string }) => {
@@ -58,7 +61,8 @@
       regionByDomain: REGION_BY_DOMAIN,
       holderPresence: new HolderPresenceTracker(),
     };
-    check = new MisplacementCheck(services);
+    const warmups = { isCold: ({ id }: MemberEntry) => cold.has(id) };
+    check = new MisplacementCheck({ ...services, memberRegistry: { warmups } });
     fleet.setMembers(PRIMARY, createRegionMember('south-b', 'south-2'), REPLICA);
     fleet.setPrimary('south');
   });
@@ -146,6 +150,15 @@
     expect(await countSwitchovers(5000)).toBe(0);
   });
 
+  /** Guards against a cold primary, as when the evacuation of the better region has just ended. */
+  it('stay until the better member is warm', async () => {
+    restrict(NORTH);
+    cold.add('north');
+    expect(await countSwitchovers(5000)).toBe(0);
+    cold.clear();
+    expect(await countSwitchovers(2500)).toBe(1);
+  });
+
   /** Guards against a switchover while the primary cannot step down, which would stop all writes. */
   it('stay if they do not respond', async () => {
     restrict(NORTH);
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -124,6 +124,7 @@
           isSuspended: () => false,
           findSuspendedEpoch: () => 0,
         },
+        warmups: { isCold: () => false },
         findPool: () => ({ computeSilenceMs: () => (isSilent ? 1000 : 0), avoidUntil: 0 }),
       },
       holderPresence: new HolderPresenceTracker(),
