End the wait of a transaction's statement for its token at its timeout

A statement of an open transaction at a cold member waited up to its timeout for a slot, and then up to its timeout again for a token. The instance with the caller's session gives up after the first, so a commit could be sent after its caller had been told that its outcome was not known. The token must now be due within what the wait for the slot has left; otherwise the statement is not sent, which the caller learns.

--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -161,6 +161,7 @@
     onReleased: () => void,
   ): LocalMemberTransaction {
     const transaction: LocalMemberTransaction = new LocalMemberTransaction({
+      clock: this.clock,
       pool,
       connection,
       gate,
--- a/packages/gateway/src/hosting/local-member-transaction.ts
+++ b/packages/gateway/src/hosting/local-member-transaction.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { EvacuationGuard } from '../members/evacuation-guard.js';
 import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
@@ -26,6 +27,7 @@
 
 /** What an open transaction holds. */
 export interface TransactionOptions {
+  readonly clock: Pick<Clock, 'now'>;
   readonly pool: MemberPool;
   readonly connection: MemberConnection;
   readonly gate: SlotGate;
@@ -80,7 +82,8 @@
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
   ): Promise<ExchangeResult> {
-    const { gate, request, weight } = this.options;
+    const { clock, gate, request, weight } = this.options;
+    const deadline = clock.now() + timeoutMs;
     // A statement of an open transaction is not refused for its wait: the work done would be lost.
     const admitted = await gate.acquire({
       organisation: request.credentials.organisation,
@@ -95,7 +98,7 @@
     }
     let hasReply = false;
     try {
-      const result = await this.runInSlot(statement, values, timeoutMs);
+      const result = await this.runInSlot(statement, values, timeoutMs, deadline);
       hasReply = result.kind === 'answered';
       return result;
     } finally {
@@ -103,14 +106,24 @@
     }
   }
 
+  /**
+   * Runs a statement that holds a slot.
+   *
+   * @param statement - the statement
+   * @param values - session values that the member must have
+   * @param timeoutMs - maximum wait for the token and the reply together, in milliseconds
+   * @param deadline - time by which the token must be due; later, the caller has been told of a failure
+   */
   private async runInSlot(
     statement: MemberStatement,
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
+    deadline: number,
   ): Promise<ExchangeResult> {
-    const { pool, connection, request, warmupGate, evacuationGuard } = this.options;
+    const { clock, pool, connection, request, warmupGate, evacuationGuard } = this.options;
     const { member } = request;
-    const token = warmupGate?.take({ member, values, statement }, connection, timeoutMs) ?? 0;
+    const maxTokenWaitMs = deadline - clock.now();
+    const token = warmupGate?.take({ member, values, statement }, connection, maxTokenWaitMs) ?? 0;
     if (typeof token !== 'number') return { kind: 'lost', reason: token.text, wasSent: false };
     if (token > 0) await waitForToken(pool, token);
     // Another session may use the connection once the transaction has ended.
--- a/packages/gateway/test/hosting/cold-members.test.ts
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -221,6 +221,28 @@
     expect(fleet.countBusiestSecond()).toBeLessThanOrEqual(PACE);
   });
 
+  it('gets no statement of a transaction after its timeout (guards against a commit that is sent when its caller has been told of a failure)', async () => {
+    const [host] = startAll(['i0'], COLD) as [WarmupInstance];
+    await advance(3000);
+    const begun = host.access.begin({ ...createRead(), readOnly: true });
+    await advance(5);
+    const result = await begun;
+    if (result.kind !== 'open') throw new Error(result.kind);
+    // They hold all slots, the last of them for half a second.
+    for (let count = 0; count < 5; count += 1) {
+      void host.access.run(createRead({ maxEstimatedWaitMs: 800 }));
+    }
+    await advance(5);
+    const sentAt = fleet.clock.now();
+    const commit = { requestId: 'c', text: 'COMMIT', prepared: undefined };
+    const committed = result.transaction.run(commit, NO_VALUES, 550);
+    await advance(1000);
+    expect(await committed).toMatchObject({ kind: 'lost', wasSent: false });
+    const late = fleet.arrivals.filter(({ at, kind }) => kind === 'forward' && at > sentAt + 550);
+    expect(late).toEqual([]);
+    result.transaction.end();
+  });
+
   it('counts a statement that is prepared (guards against two commands for one token)', async () => {
     const [host] = startAll(['i0'], COLD) as [WarmupInstance];
     await advance(3000);
