Prefer warm members as the successors of primaries

At a change of primary, a member that had just started or whose domain had been evacuated until then could be promoted because of its id, while a warm member held the same log: nearly all writes of the group were then refused until the warm-up ended. A warm member is now preferred at the same distance. The log, listing, evacuations and regions still come first, and without a warm candidate a cold one is promoted as before.

--- a/packages/core/src/failover/promotion-plan.ts
+++ b/packages/core/src/failover/promotion-plan.ts
@@ -10,6 +10,8 @@
   readonly isListed: boolean;
   /** Whether its failure domain is evacuated; other members are preferred. */
   readonly isEvacuated?: boolean;
+  /** Whether it has just started and accepts few statements; at the same distance, others are preferred. */
+  readonly isCold?: boolean;
   /** Distance from most callers, 0 if as near as the old primary; nearer members are preferred. */
   readonly distance: number;
   /** Log position up to which it has received the log; undefined if it could not be fenced. */
@@ -78,5 +80,7 @@
   if (isEvacuated !== (right.isEvacuated ?? false)) return isEvacuated ? 1 : -1;
   if (left.wasPrimary !== right.wasPrimary) return left.wasPrimary ? 1 : -1;
   if (left.distance !== right.distance) return left.distance - right.distance;
+  const { isCold = false } = left;
+  if (isCold !== (right.isCold ?? false)) return isCold ? 1 : -1;
   return left.id < right.id ? -1 : 1;
 }
--- a/packages/core/test/units/promotion.test.ts
+++ b/packages/core/test/units/promotion.test.ts
@@ -48,6 +48,16 @@
       });
     });
 
+    // Guards against writes that are refused for the time of a warm-up although a warm member could run them.
+    it('prefers a warm replica to a cold one at the same distance only', () => {
+      const cold = createMember('a', 10, { isCold: true });
+      const plan = planPromotion([primary, cold, createMember('b', 10)], 1);
+      expect(plan).toEqual({ kind: 'promote', member: 'b' });
+      const far = createMember('b', 10, { distance: 1 });
+      expect(planPromotion([primary, cold, far], 1)).toEqual({ kind: 'promote', member: 'a' });
+      expect(planPromotion([primary, cold], 1)).toEqual({ kind: 'promote', member: 'a' });
+    });
+
     // Guards against a group that stays without a primary after a crash during an evacuation, and against
     // a planned switchover from one evacuated member to another.
     it('promotes a replica inside only if the change has another cause', () => {
--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -11,6 +11,7 @@
 } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { MemberWarmups } from '../members/member-warmups.js';
 import type { EventLog } from '../runtime/event-log.js';
 import { MemberControl } from './member-control.js';
 import { computeRegionDistance } from './misplacement-check.js';
@@ -25,6 +26,8 @@
 export interface FencingServices {
   /** Region of each failure domain; undefined if none is known. */
   readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
+  /** Knows the members that have just started; without it, none counts as cold. */
+  readonly memberRegistry?: { readonly warmups: Pick<MemberWarmups, 'isCold'> } | undefined;
   readonly clock: Clock;
   readonly view: FleetView;
   readonly control: MemberControl;
@@ -38,6 +41,7 @@
   readonly isDraining: boolean;
   readonly isListed: boolean;
   readonly isEvacuated: boolean;
+  readonly isCold: boolean;
 }
 
 /** Stops the commits of a group's old primary, and chooses the member to promote. */
@@ -80,7 +84,7 @@
     previous: MemberId | undefined,
     mayPromoteEvacuated: boolean,
   ): Promise<{ plan: PromotionPlan; endpoints: ReadonlyMap<MemberId, MemberEndpoint> }> {
-    const { view, holderPresence } = this.services;
+    const { view, holderPresence, memberRegistry } = this.services;
     const departed = this.listDeparted();
     const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
     const listed: FenceTarget[] = view.listMembers(this.group).map((endpoint) => ({
@@ -88,6 +92,7 @@
       isDraining: endpoint.isDraining,
       isListed: true,
       isEvacuated: view.evacuatedDomains.has(endpoint.failureDomain),
+      isCold: memberRegistry?.warmups.isCold(endpoint) === true,
     }));
     const isReplicaUp = ({ holder, id }: DepartedHolder): boolean =>
       id !== previous && holderPresence.wasUp(holder);
@@ -189,17 +194,17 @@
   return departed.flatMap(({ endpoint, isReplaced }) =>
     endpoint === undefined || isReplaced
       ? []
-      : [{ endpoint, isDraining: false, isListed: false, isEvacuated: false }],
+      : [{ endpoint, isDraining: false, isListed: false, isEvacuated: false, isCold: false }],
   );
 }
 
 function createFenced(
-  { endpoint, isDraining, isListed, isEvacuated }: FenceTarget,
+  { endpoint, isDraining, isListed, isEvacuated, isCold }: FenceTarget,
   wasPrimary: boolean,
   received: FencedMember['received'],
 ): FencedMember {
   const { id } = endpoint;
-  return { id, wasPrimary, isDraining, isListed, isEvacuated, distance: 0, received };
+  return { id, wasPrimary, isDraining, isListed, isEvacuated, isCold, distance: 0, received };
 }
 
 /** Creates the state of an unlisted commit holder that was not reached. */
--- a/packages/gateway/test/units/misplacement-check.test.ts
+++ b/packages/gateway/test/units/misplacement-check.test.ts
@@ -53,7 +53,9 @@
         return { role: isPrimary ? 'primary' : 'replica', term: 1, received, heldTerm: 2 };
       },
     } as unknown as MemberControl;
+    const warmups = { isCold: ({ id }: MemberEntry) => cold.has(id) };
     services = {
+      memberRegistry: { warmups },
       clock: fleet.clock,
       view: fleet.view,
       log: fleet.log,
@@ -61,8 +63,7 @@
       regionByDomain: REGION_BY_DOMAIN,
       holderPresence: new HolderPresenceTracker(),
     };
-    const warmups = { isCold: ({ id }: MemberEntry) => cold.has(id) };
-    check = new MisplacementCheck({ ...services, memberRegistry: { warmups } });
+    check = new MisplacementCheck(services);
     fleet.setMembers(PRIMARY, createRegionMember('south-b', 'south-2'), REPLICA);
     fleet.setPrimary('south');
   });
@@ -195,6 +196,14 @@
       expect(await chooseSuccessor()).toBe('south-b');
     });
 
+    /** Guards against a cold primary while a warm member of the same region holds the log. */
+    it('by a warm member if the region is as good', async () => {
+      fleet.setMembers(createRegionMember('north-b', 'north-2'));
+      restrict(NORTH);
+      cold.add('north');
+      expect(await chooseSuccessor()).toBe('north-b');
+    });
+
     /** Guards against another choice in deployments that restrict nothing. */
     it('as before if no route is restricted', async () => {
       fleet.setMembers(createRegionMember('a-south', 'south-2'));
