--- a/packages/gateway/src/failover/misplacement-check.ts
+++ b/packages/gateway/src/failover/misplacement-check.ts
@@ -11,6 +11,7 @@
   toMilliseconds,
 } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { MemberWarmups } from '../members/member-warmups.js';
 import type { MemberControl } from './member-control.js';
 
 /**
@@ -36,16 +37,21 @@
 export interface MisplacementServices extends RegionPlacementServices {
   readonly clock: Clock;
   readonly control: MemberControl;
+  /** Knows the members that have just started; without it, none counts as cold. */
+  readonly memberRegistry?: { readonly warmups: Pick<MemberWarmups, 'isCold'> } | undefined;
 }
 
 /**
- * Finds primaries in a region that fewer routes allow than that of another member. Runs on the coordinator.
+ * Finds primaries in a region that fewer routes allow than that of another member. The coordinator moves them.
  */
 export class MisplacementCheck {
   private readonly tracker = new MisplacementTracker(MISPLACEMENT_TIMINGS);
 
   private readonly nextCheckAt = new Map<GroupId, Milliseconds>();
 
+  /** Epochs of the primary records that were seen. */
+  private readonly seenEpochs = new Map<GroupId, number>();
+
   constructor(private readonly services: MisplacementServices) {}
 
   /** Forgets what was seen in an earlier term as the coordinator. */
@@ -53,6 +59,21 @@
     this.tracker.clear();
   }
 
+  /**
+   * Takes the time of a switchover to a better region from the group's record, as every instance sees it,
+   * so that a new coordinator does not move the primary again too soon. To be called on all instances.
+   *
+   * @param group - the group
+   */
+  observeRecord(group: GroupId): void {
+    const record = this.services.view.primaries.get(group)?.value;
+    if (record === undefined || this.seenEpochs.get(group) === record.epoch) return;
+    this.seenEpochs.set(group, record.epoch);
+    if (record.isRegionMove === true) {
+      this.tracker.recordSwitchover(group, this.services.clock.now());
+    }
+  }
+
   /**
    * Finds out whether a planned switchover to a better region is due. The caller starts it if it is.
    *
@@ -71,18 +92,20 @@
     return true;
   }
 
+  /** A cold member would get all writes of the group, but accepts few statements. */
   private listBetterMembers(group: GroupId, primary: MemberEntry): MemberEntry[] {
-    const { view } = this.services;
+    const { view, memberRegistry } = this.services;
     const { settings } = view;
     if (settings === undefined || !hasRestrictedRoute(settings, group)) return [];
     const current = computeRegionDistance(this.services, group, primary.id);
     return view
       .listMembers(group)
       .filter(
-        ({ id, isDraining, failureDomain }) =>
-          !isDraining &&
-          !view.evacuatedDomains.has(failureDomain) &&
-          computeRegionDistance(this.services, group, id) < current,
+        (entry) =>
+          !entry.isDraining &&
+          !view.evacuatedDomains.has(entry.failureDomain) &&
+          memberRegistry?.warmups.isCold(entry) !== true &&
+          computeRegionDistance(this.services, group, entry.id) < current,
       );
   }
 
--- a/packages/gateway/test/units/misplacement-check.test.ts
+++ b/packages/gateway/test/units/misplacement-check.test.ts
@@ -29,6 +29,8 @@
   let fleet: RegionFleet;
   let check: MisplacementCheck;
   let services: FencingServices;
+  /** Members that have just started, or whose domain was evacuated until now. */
+  let cold: Set<string>;
   /** Log positions of members that are not caught up. */
   let behind: Set<string>;
   let commands: string[];
@@ -39,6 +41,7 @@
     fleet = new RegionFleet();
     behind = new Set();
     silent = new Set();
+    cold = new Set();
     commands = [];
     const control = {
       sendCommand: async ({ id }: MemberEntry, { kind }: { kind: string }) => {
@@ -50,7 +53,9 @@
         return { role: isPrimary ? 'primary' : 'replica', term: 1, received, heldTerm: 2 };
       },
     } as unknown as MemberControl;
+    const warmups = { isCold: ({ id }: MemberEntry) => cold.has(id) };
     services = {
+      memberRegistry: { warmups },
       clock: fleet.clock,
       view: fleet.view,
       log: fleet.log,
@@ -90,6 +95,25 @@
     expect(await countSwitchovers(2000)).toBe(1);
   });
 
+  /** Guards against a new coordinator that repeats a switchover after 2 s because it did not begin the last. */
+  it('stay for 30 s after a switchover of another coordinator, also if that failed', async () => {
+    restrict(NORTH);
+    check.observeRecord(REGION_GROUP);
+    fleet.setPrimary('south', { isRegionMove: true });
+    for (let count = 0; count < 2; count += 1) check.observeRecord(REGION_GROUP);
+    expect(await countSwitchovers(29_000)).toBe(0);
+    expect(await countSwitchovers(2000)).toBe(1);
+  });
+
+  /** Guards against restricted writes that are rejected for 30 s after a primary has crashed. */
+  it('are replaced after 2 s if the last change had another cause', async () => {
+    restrict(NORTH);
+    check.observeRecord(REGION_GROUP);
+    fleet.setPrimary('south');
+    check.observeRecord(REGION_GROUP);
+    expect(await countSwitchovers(2200)).toBe(1);
+  });
+
   /** Guards against writes that stop because no replica in the better region holds the whole log. */
   it('stay until a member in the better region has caught up', async () => {
     restrict(NORTH);
@@ -127,6 +151,15 @@
     expect(await countSwitchovers(5000)).toBe(0);
   });
 
+  /** Guards against a cold primary, as when the evacuation of the better region has just ended. */
+  it('stay until the better member is warm', async () => {
+    restrict(NORTH);
+    cold.add('north');
+    expect(await countSwitchovers(5000)).toBe(0);
+    cold.clear();
+    expect(await countSwitchovers(2500)).toBe(1);
+  });
+
   /** Guards against a switchover while the primary cannot step down, which would stop all writes. */
   it('stay if they do not respond', async () => {
     restrict(NORTH);
@@ -163,6 +196,14 @@
       expect(await chooseSuccessor()).toBe('south-b');
     });
 
+    /** Guards against a cold primary while a warm member of the same region holds the log. */
+    it('by a warm member if the region is as good', async () => {
+      fleet.setMembers(createRegionMember('north-b', 'north-2'));
+      restrict(NORTH);
+      cold.add('north');
+      expect(await chooseSuccessor()).toBe('north-b');
+    });
+
     /** Guards against another choice in deployments that restrict nothing. */
     it('as before if no route is restricted', async () => {
       fleet.setMembers(createRegionMember('a-south', 'south-2'));
