Wait for tokens of a rate for as long as before

Cause: the shorter wait refused requests that a loan would have served. Change: requests carry a priority only, and wait for 300 ms as before.

--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -36,17 +36,6 @@
   readonly priority: number;
 }
 
-/** How urgent a request is, and how long it may wait for a token. */
-export interface RequestUrgency {
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Maximum wait for a token; that of the rules applies if it is shorter. */
-  readonly maxWaitMs: number;
-}
-
-/** Urgency of requests of which nothing is known; all of them are alike. */
-const DEFAULT_URGENCY: RequestUrgency = { priority: 0, maxWaitMs: Infinity };
-
 /** A refused request. */
 export interface AdmissionRefusal {
   readonly ticket: AdmissionTicket;
@@ -138,11 +127,10 @@
    * otherwise.
    *
    * @param now - current time
-   * @param urgency - how urgent the request is, and how long it may wait
+   * @param priority - 0 is the most urgent; requests of which nothing is known are alike
    * @returns undefined if the request may run at once, or the ticket under which it waits
    */
-  addRequest(now: Milliseconds, urgency = DEFAULT_URGENCY): AdmissionTicket | undefined {
-    const { priority } = urgency;
+  addRequest(now: Milliseconds, priority = 0): AdmissionTicket | undefined {
     this.leastUrgentPriority = Math.max(this.leastUrgentPriority, priority);
     this.limiter.recordDemand(now);
     this.reserve.recordDemand(priority, 1, now);
@@ -151,8 +139,8 @@
     if (index === 0 && this.admitOne(priority, now)) return undefined;
     const ticket = this.nextTicket;
     this.nextTicket += 1;
-    const maxWaitMs = Math.min(this.rules.maxWaitMs, urgency.maxWaitMs);
-    this.waiting.splice(index, 0, { ticket, priority, deadline: toMilliseconds(now + maxWaitMs) });
+    const deadline = toMilliseconds(now + this.rules.maxWaitMs);
+    this.waiting.splice(index, 0, { ticket, priority, deadline });
     return ticket;
   }
 
--- a/packages/core/test/units/urgent-admission.test.ts
+++ b/packages/core/test/units/urgent-admission.test.ts
@@ -44,7 +44,7 @@
     for (const kind of arrivals) {
       asked[kind] += 1;
       const priority = kind === 'urgent' ? 0 : 2;
-      const ticket = queue.addRequest(at(now), { priority, maxWaitMs: 150 });
+      const ticket = queue.addRequest(at(now), priority);
       if (ticket === undefined) admitted[kind] += 1;
       else kinds.set(ticket, kind);
     }
@@ -79,8 +79,8 @@
 
   it('serves a waiting urgent request before one that arrived earlier', () => {
     const queue = createQueue(10, 10);
-    const other = queue.addRequest(at(0), { priority: 2, maxWaitMs: 300 });
-    const urgent = queue.addRequest(at(1), { priority: 0, maxWaitMs: 300 });
+    const other = queue.addRequest(at(0), 2);
+    const urgent = queue.addRequest(at(1), 0);
     expect(queue.step(at(101)).admitted).toEqual([urgent]);
     expect(queue.step(at(202)).admitted).toEqual([other]);
   });
@@ -91,14 +91,14 @@
   it('refuses at once when no lender has answered, and asks them again after two seconds', () => {
     const queue = createQueue(0, 0, [SELF, ...LENDERS]);
     for (let now = 0; now < 2000; now += 10) {
-      if (now % 100 === 0) queue.addRequest(at(now), { priority: 1, maxWaitMs: 150 });
+      if (now % 100 === 0) queue.addRequest(at(now), 1);
       queue.step(at(now));
     }
-    const ticket = queue.addRequest(at(2000), { priority: 1, maxWaitMs: 150 });
+    const ticket = queue.addRequest(at(2000), 1);
     const { refused, loanRequests } = queue.step(at(2000));
     expect(refused.map((refusal) => refusal.ticket)).toContain(ticket);
     expect(loanRequests).toEqual([]);
-    queue.addRequest(at(4500), { priority: 1, maxWaitMs: 150 });
+    queue.addRequest(at(4500), 1);
     expect(queue.step(at(4500)).loanRequests).toHaveLength(1);
   });
 
@@ -106,7 +106,7 @@
   it('borrows in advance with the priority of its least urgent requests', () => {
     const queue = createQueue(1, 6, [SELF, ...LENDERS]);
     for (let now = 0; now < 400; now += 20) {
-      queue.addRequest(at(now), { priority: 1, maxWaitMs: 1 });
+      queue.addRequest(at(now), 1);
     }
     const { refused, loanRequests } = queue.step(at(400));
     expect(refused.length).toBeGreaterThan(0);
@@ -117,10 +117,10 @@
   it('asks a lender again soon after one late answer', () => {
     const [only] = LENDERS;
     const queue = createQueue(0, 0, only === undefined ? [SELF] : [SELF, only]);
-    queue.addRequest(at(0), { priority: 1, maxWaitMs: 300 });
+    queue.addRequest(at(0), 1);
     expect(queue.step(at(0)).loanRequests).toHaveLength(1);
     queue.step(at(250));
-    queue.addRequest(at(410), { priority: 1, maxWaitMs: 300 });
+    queue.addRequest(at(410), 1);
     expect(queue.step(at(410)).loanRequests).toHaveLength(1);
   });
 
@@ -128,18 +128,18 @@
   it('asks a lender for urgent requests that has refused less urgent ones', () => {
     const [only] = LENDERS;
     const queue = createQueue(0, 0, only === undefined ? [SELF] : [SELF, only]);
-    queue.addRequest(at(0), { priority: 2, maxWaitMs: 300 });
+    queue.addRequest(at(0), 2);
     const [first] = queue.step(at(0)).loanRequests;
     queue.handleOffer(first?.requestId ?? 0, { loan: undefined, spare: 0 }, at(20));
-    queue.addRequest(at(30), { priority: 2, maxWaitMs: 300 });
+    queue.addRequest(at(30), 2);
     expect(queue.step(at(30)).loanRequests).toEqual([]);
-    queue.addRequest(at(40), { priority: 0, maxWaitMs: 300 });
+    queue.addRequest(at(40), 0);
     expect(queue.step(at(40)).loanRequests).toMatchObject([{ lender: only, priority: 0 }]);
   });
 
   it('asks another lender when the first is late', () => {
     const queue = createQueue(0, 0, [SELF, ...LENDERS]);
-    queue.addRequest(at(0), { priority: 1, maxWaitMs: 300 });
+    queue.addRequest(at(0), 1);
     const [first] = queue.step(at(0)).loanRequests;
     expect(queue.step(at(100)).loanRequests).toEqual([]);
     const [second] = queue.step(at(150)).loanRequests;
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -14,7 +14,6 @@
   ProxyError,
   rateExceeded,
   type RateTolerance,
-  type RequestUrgency,
   computeInitialTokens,
   toBrand,
   toMilliseconds,
@@ -128,15 +127,15 @@
    * Waits until a request may run.
    *
    * @param organisation - organisation that the request belongs to
-   * @param urgency - how urgent the request is; all are alike if left out
+   * @param priority - 0 is the most urgent; all requests are alike if it is left out
    * @throws ProxyError if no token becomes available in time
    */
-  async admit(organisation: OrganisationId, urgency?: RequestUrgency): Promise<void> {
+  async admit(organisation: OrganisationId, priority?: number): Promise<void> {
     const rate = this.settings?.organisations.get(organisation)?.requestsPerSecond;
     // Fractions of an unlimited rate are not finite numbers (0 × Infinity is NaN).
     if (rate === Infinity) return;
     const entry = this.getOrCreateEntry(organisation);
-    const ticket = entry.queue.addRequest(this.clock.now(), urgency);
+    const ticket = entry.queue.addRequest(this.clock.now(), priority);
     if (ticket === undefined) {
       this.scheduleStep(organisation);
       return;
--- a/packages/gateway/src/sessions/admission.ts
+++ b/packages/gateway/src/sessions/admission.ts
@@ -11,18 +11,6 @@
 import type { WireError } from '../ports/caller-protocol.js';
 import type { Grant, GrantChecker } from './grants.js';
 
-/**
- * Part of the latency objective that an operation may wait for a token of its organisation's rate. The
- * rest has to hold the queue at the member, the statement itself and a retry at another instance.
- */
-const MAX_RATE_WAIT_RATIO = 0.2;
-
-/**
- * Every operation may wait as long as a token takes that is lent over a link which is not open yet: five
- * round trips between regions.
- */
-const MIN_RATE_WAIT_MS = 150;
-
 /**
  * Only routes of the highest priority, 0, get the tokens of an organisation first. Settings without such
  * routes ask for no preference: their requests are admitted in the order of their arrival.
@@ -57,10 +45,8 @@
     const grant = this.resolveGrant(database, key);
     if ('code' in grant || grant.organisation === undefined) return grant;
     try {
-      await this.services.limits.admit(grant.organisation, {
-        priority: Math.min(grant.route.priority, ORDINARY_PRIORITY),
-        maxWaitMs: Math.max(MIN_RATE_WAIT_MS, grant.route.targetLatencyMs * MAX_RATE_WAIT_RATIO),
-      });
+      const priority = Math.min(grant.route.priority, ORDINARY_PRIORITY);
+      await this.services.limits.admit(grant.organisation, priority);
     } catch (error) {
       if (!(error instanceof ProxyError)) throw error;
       return { code: 'busy', text: error.message };
