Find the concurrency limit of a member from how it answers

Cause: a member that has just started or recovered gets its slots and one more at once, and is flooded, or is left idle by a fixed limit. Change: MemberPace holds the number of statements that may run at once, between one and the full limit. MemberSlotQueue asks it if it is given one; without it the limit is the slots and one more, as before. Not part of it: the one statement at the lower bound is not restricted to reads outside transactions.

--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -1,14 +1,12 @@
 import type { FairQueueRequest, WaitingRequest } from '../fairness/organisation-requests.js';
-import {
-  DEFAULT_COST_MS,
-  type SlotCharge,
-  SlotTimeFairQueue,
-} from '../fairness/slot-time-fair-queue.js';
+import { DEFAULT_COST_MS, SlotTimeFairQueue } from '../fairness/slot-time-fair-queue.js';
 import { WaitEstimator } from '../serving/wait-estimator.js';
 import type { Milliseconds, OrganisationId } from '../types/ids.js';
+import type { MemberPace, StatementOutcome } from './member-pace.js';
 import {
   computeMaxHoldMs,
   computeRetryAfterMs,
+  createUse,
   type RejectionCause,
   type SlotDecision,
   type SlotRejection,
@@ -70,8 +68,14 @@
 
   private rejected: SlotRejection[] = [];
 
-  /** @param slots - statements that the member runs at the same time */
-  constructor(private readonly slots: number) {}
+  /**
+   * @param slots - statements that the member runs at the same time
+   * @param pace - limit found from the member's answers; without it, the slots and one more
+   */
+  constructor(
+    private readonly slots: number,
+    private readonly pace?: MemberPace,
+  ) {}
 
   /** @returns number of statements that run or wait */
   get pending(): number {
@@ -89,10 +93,10 @@
     const { organisation = ANONYMOUS, priority, isInTransaction = false } = request;
     const queue = this.getQueue(priority);
     this.removeUnservable(now);
-    if (this.running < this.slots + PIPELINED_STATEMENTS && this.countWaiting() === 0) {
+    if (this.running < this.getLimit(now) && this.countWaiting() === 0) {
       this.running += 1;
       const charge = queue.waiting.charge(organisation, request.weight);
-      return { kind: 'granted', use: { priority, charge, startedAt: now } };
+      return { kind: 'granted', use: createUse(priority, charge, request, now) };
     }
     const waiting: FairQueueRequest = { ...request, organisation, isInTransaction };
     const waitMs = this.estimateWait(queue, waiting, now);
@@ -113,16 +117,21 @@
    * @returns the waiting statement that runs next, if there is one
    */
   release(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
+    this.running -= 1;
+    return this.startNext(now);
+  }
+
+  /** @returns a waiting statement that may run now, as after a rise of the limit, if there is one */
+  startNext(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
     this.removeUnservable(now);
+    if (this.running >= this.getLimit(now)) return undefined;
     for (const { priority, waiting } of this.queues) {
       const next = waiting.shift();
       if (next === undefined) continue;
       this.recordDequeue(priority, next.costMs, now);
-      const { ticket, organisation, costMs } = next;
-      const charge: SlotCharge = { organisation, costMs };
-      return { priority, ticket, use: { priority, charge, startedAt: now } };
+      this.running += 1;
+      return { priority, ticket: next.ticket, use: createUse(priority, next, next, now) };
     }
-    this.running -= 1;
     return undefined;
   }
 
@@ -132,10 +141,19 @@
    * @param use - how it used its slot
    * @param now - current time
    * @param hasReply - whether the member replied; a lost reply tells nothing about its speed
+   * @param outcome - how it ended, for the limit of the member
    */
-  recordEnd({ priority, charge, startedAt }: SlotUse, now: Milliseconds, hasReply: boolean): void {
+  recordEnd(
+    use: SlotUse,
+    now: Milliseconds,
+    hasReply: boolean,
+    outcome: StatementOutcome = hasReply ? 'answered' : 'lost',
+  ): void {
+    const { priority, charge, startedAt, objectiveMs } = use;
+    const elapsedMs = now - startedAt;
+    this.pace?.recordEnd({ priority, elapsedMs, outcome, objectiveMs, running: this.running }, now);
     const queue = this.queues.find((other) => other.priority === priority);
-    queue?.waiting.recordEnd(charge, now - startedAt, hasReply);
+    queue?.waiting.recordEnd(charge, elapsedMs, hasReply);
   }
 
   /**
@@ -169,7 +187,7 @@
 
   private removeUnservable(now: Milliseconds): void {
     let urgentMs = 0;
-    const concurrency = this.slots + PIPELINED_STATEMENTS;
+    const concurrency = this.getLimit(now);
     for (const queue of this.queues) {
       const { waiting } = queue;
       if (waiting.size === 0) continue;
@@ -241,11 +259,11 @@
   }
 
   private estimateDuration(workMs: number, now: Milliseconds): number {
-    const ahead = workMs / (this.dequeuedCostMs ?? DEFAULT_COST_MS);
-    const durationMs = this.waitEstimator.estimateWait(ahead, now);
-    if (this.dequeuedCostMs !== undefined || this.computeMeanMs() === undefined) return durationMs;
+    const costMs = this.dequeuedCostMs;
+    const durationMs = this.waitEstimator.estimateWait(workMs / (costMs ?? DEFAULT_COST_MS), now);
+    if (costMs !== undefined || this.computeMeanMs() === undefined) return durationMs;
     // Nothing has been dequeued yet, but statements have ended that did not wait.
-    return Math.max(durationMs, workMs / (this.slots + PIPELINED_STATEMENTS));
+    return Math.max(durationMs, workMs / this.getLimit(now));
   }
 
   private computeMeanMs(): number | undefined {
@@ -268,6 +286,10 @@
     return queue;
   }
 
+  private getLimit(now: Milliseconds): number {
+    return this.pace?.limit(now) ?? this.slots + PIPELINED_STATEMENTS;
+  }
+
   private countWaiting(): number {
     let count = 0;
     for (const { waiting } of this.queues) count += waiting.size;
--- a/packages/core/src/hosting/slot-request.ts
+++ b/packages/core/src/hosting/slot-request.ts
@@ -32,6 +32,25 @@
   readonly priority: number;
   readonly charge: SlotCharge;
   readonly startedAt: Milliseconds;
+  /** Wait that its caller accepts, in milliseconds. */
+  readonly objectiveMs: number;
+}
+
+/**
+ * Creates the use of a slot by a statement that starts.
+ *
+ * @param priority - priority of the statement
+ * @param charge - slot time charged for it
+ * @param request - the wait that its caller accepts, in milliseconds
+ * @param startedAt - current time
+ */
+export function createUse(
+  priority: number,
+  { organisation, costMs }: SlotCharge,
+  { maxEstimatedWaitMs: objectiveMs }: Pick<SlotRequest, 'maxEstimatedWaitMs'>,
+  startedAt: Milliseconds,
+): SlotUse {
+  return { priority, charge: { organisation, costMs }, startedAt, objectiveMs };
 }
 
 /** Why a statement is rejected. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,6 +53,7 @@
 export * from './hosting/choose-member-hosts.js';
 export * from './hosting/host-availability.js';
 export * from './hosting/member-load.js';
+export * from './hosting/member-pace.js';
 export * from './hosting/member-slot-queue.js';
 export * from './hosting/statement-times.js';
 export * from './hosting/member-warmup.js';
