Use adaptive limits for members where the setting asks for them

Cause: the concurrency limit that is found from a member's answers had no user. Change: the environment variable HEATHERLEDGE_MEMBER_PACE (fixed by default, or adaptive; any other value is a start error that names it) reaches the gateway as GatewaySettings.memberPace. With adaptive, each member's gate asks its limit, which begins again when the member becomes cold or is reachable after all connections failed. Statements that were not sent and errors of their own count for nothing. The log line member.limit tells of changes by a quarter of the full limit, the gauge heatherledge_gateway_member_limit shows the limit.

--- a/packages/core/src/hosting/member-pace.ts
+++ b/packages/core/src/hosting/member-pace.ts
@@ -95,7 +95,7 @@
   /** Limit at which the member last showed overload. */
   private overloadedAtLimit = Infinity;
 
-  private lastEndAt: Milliseconds;
+  private lastEndAt: Milliseconds | undefined;
 
   private coldUntil = toMilliseconds(0);
 
@@ -110,7 +110,6 @@
     startedAt: Milliseconds,
   ) {
     this.changedAt = startedAt;
-    this.lastEndAt = startedAt;
   }
 
   /**
@@ -119,14 +118,18 @@
    */
   limit(now: Milliseconds): number {
     // A statement that runs for longer than this counts as idle time, too.
-    if (now - this.lastEndAt > MAX_IDLE_MS) this.recordStart(now);
+    if (this.current > MIN_STATEMENTS && this.isIdle(now)) this.recordStart(now);
     const bound = now < this.coldUntil ? this.reducedLimit : this.fullLimit;
     return Math.max(MIN_STATEMENTS, Math.floor(Math.min(this.current, bound)));
   }
 
+  /** @returns whether no statement has ended lately */
+  isIdle(now: Milliseconds): boolean {
+    return this.lastEndAt === undefined || now - this.lastEndAt > MAX_IDLE_MS;
+  }
+
   /** Records that the member has started or returned, or that this host took it over. */
   recordStart(now: Milliseconds): void {
-    this.lastEndAt = now;
     this.lostShare = 0;
     this.overloadedAtLimit = Infinity;
     this.set('start', MIN_STATEMENTS, now);
--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -123,8 +123,8 @@
 
   /** @returns a waiting statement that may run now, as after a rise of the limit, if there is one */
   startNext(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
-    this.removeUnservable(now);
     if (this.running >= this.getLimit(now)) return undefined;
+    this.removeUnservable(now);
     for (const { priority, waiting } of this.queues) {
       const next = waiting.shift();
       if (next === undefined) continue;
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@heatherledge/core';
+import type { Clock, Milliseconds, StatementOutcome } from '@heatherledge/core';
 import type { MemberConnection } from '../members/member-connection.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
@@ -16,6 +16,7 @@
 } from './member-access.js';
 import { MemberAdmission, type WeightLookup } from './member-admission.js';
 import type { SlotGate } from './slot-gate.js';
+import { classifyOutcome } from './statement-outcome.js';
 import { findConnectionRejection, SILENT_OBSERVER, type SlotObserver } from './slot-rejections.js';
 import type { WarmupGate } from './warmup-gate.js';
 
@@ -76,13 +77,12 @@
     const admitted =
       this.warmupGate?.findRefusal(request) ?? (await this.admission.acquireSlot(gate, request));
     if (admitted.kind === 'refused') return admitted;
-    let hasReply = false;
+    let result: StatementResult | undefined;
     try {
-      const result = await this.runInSlot(request, startedAt);
-      hasReply = result.kind === 'answered';
+      result = await this.runInSlot(request, startedAt);
       return result;
     } finally {
-      admitted.release(hasReply);
+      admitted.release(result?.kind === 'answered', result && classifyOutcome(result));
     }
   }
 
@@ -130,7 +130,7 @@
   ): Promise<BeginResult> {
     const admitted = await this.admission.acquireSlot(gate, request);
     if (admitted.kind === 'refused') return admitted;
-    let hasReply = false;
+    let outcome: StatementOutcome = 'unsent';
     try {
       const acquired = await this.acquire(request, 'confirmed', startedAt);
       if (acquired.kind === 'refused') return acquired;
@@ -140,7 +140,7 @@
         { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
         request.timeoutMs - (this.clock.now() - startedAt),
       );
-      hasReply = result.kind === 'answered';
+      outcome = classifyOutcome(result);
       if (result.kind === 'answered' && result.reply.error === undefined) {
         const transaction = this.createTransaction(request, acquired, gate, onReleased);
         return { kind: 'open', transaction };
@@ -148,7 +148,7 @@
       pool.release(connection);
       return result;
     } finally {
-      admitted.release(hasReply);
+      admitted.release(outcome !== 'unsent' && outcome !== 'lost', outcome);
     }
   }
 
--- a/packages/gateway/src/hosting/local-member-transaction.ts
+++ b/packages/gateway/src/hosting/local-member-transaction.ts
@@ -5,6 +5,7 @@
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { BeginRequest, MemberTransaction } from './member-access.js';
 import type { SlotGate } from './slot-gate.js';
+import { classifyOutcome } from './statement-outcome.js';
 import type { WarmupGate } from './warmup-gate.js';
 
 /** Timeout of a rollback; the connection is dropped after that, which rolls back as well. */
@@ -93,13 +94,12 @@
     if (admitted.kind !== 'granted') {
       return { kind: 'lost', reason: `no slot: ${admitted.kind}`, wasSent: false };
     }
-    let hasReply = false;
+    let result: ExchangeResult | undefined;
     try {
-      const result = await this.runInSlot(statement, values, timeoutMs);
-      hasReply = result.kind === 'answered';
+      result = await this.runInSlot(statement, values, timeoutMs);
       return result;
     } finally {
-      admitted.release(hasReply);
+      admitted.release(result?.kind === 'answered', result && classifyOutcome(result));
     }
   }
 
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  type MemberPace,
   MemberSlotQueue,
   type OrganisationId,
   PIPELINED_STATEMENTS,
@@ -7,6 +8,7 @@
   type SlotRequest,
   type SlotTicket,
   type SlotUse,
+  type StatementOutcome,
   toMilliseconds,
   TransactionBudget,
   type TransactionDecision,
@@ -20,8 +22,9 @@
        * Releases the slot; further calls have no effect.
        *
        * @param hasReply - whether the member replied; true by default
+       * @param outcome - how the statement ended, for the limit of the member
        */
-      readonly release: (hasReply?: boolean) => void;
+      readonly release: (hasReply?: boolean, outcome?: StatementOutcome) => void;
     }
   | ({
       /** `timeout`: the statement's own timeout passed before its turn. */
@@ -66,12 +69,14 @@
   /**
    * @param slots - statements that the member runs at the same time
    * @param clock - source of time
+   * @param pace - limit found from the member's answers; without it, the slots and one more
    */
   constructor(
     slots: number,
     private readonly clock: Clock,
+    pace?: MemberPace,
   ) {
-    this.queue = new MemberSlotQueue(slots);
+    this.queue = new MemberSlotQueue(slots, pace);
     this.transactions = new TransactionBudget(slots + PIPELINED_STATEMENTS);
   }
 
@@ -137,18 +142,28 @@
       clearTimeout(timer);
       const next = this.queue.release(this.clock.now());
       if (next !== undefined) this.settle(next, this.createGrant(next.use));
-      this.settleRejected();
+      this.startWaiting();
     };
     const timer = setTimeout(free, this.queue.computeMaxHoldMs(use.priority));
-    const release = (hasReply = true): void => {
+    const release = (hasReply = true, outcome?: StatementOutcome): void => {
       if (isEnded) return;
       isEnded = true;
-      this.queue.recordEnd(use, this.clock.now(), hasReply);
-      free();
+      this.queue.recordEnd(use, this.clock.now(), hasReply, outcome);
+      if (isHeld) free();
+      else this.startWaiting();
     };
     return { kind: 'granted', release };
   }
 
+  /** Starts what may run in addition if the limit has risen. */
+  private startWaiting(): void {
+    const now = this.clock.now();
+    for (let next = this.queue.startNext(now); next; next = this.queue.startNext(now)) {
+      this.settle(next, this.createGrant(next.use));
+    }
+    this.settleRejected();
+  }
+
   private scheduleExpiry(delayMs: number): NodeJS.Timeout {
     return setTimeout(
       () => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,6 +54,8 @@
 export * from './hosting/remote-member-access.js';
 export * from './hosting/member-admission.js';
 export * from './hosting/slot-gate.js';
+export * from './hosting/statement-outcome.js';
+export * from './members/member-paces.js';
 export * from './hosting/warmup-gate.js';
 export * from './hosting/slot-monitor.js';
 export * from './hosting/slot-rejections.js';
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -21,6 +21,7 @@
 import { EvacuationGuard } from './evacuation-guard.js';
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
 import { isSameEndpoint } from './member-endpoint.js';
+import { MemberPaces } from './member-paces.js';
 import { MemberPool } from './member-pool.js';
 import { MemberWarmups } from './member-warmups.js';
 import type { PoolLimits, PoolListener } from './pool-listener.js';
@@ -74,6 +75,8 @@
   /** Cold members, and the limits of statements to them. */
   readonly warmups: MemberWarmups;
 
+  private readonly paces: MemberPaces;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -92,6 +95,9 @@
       view.findEvacuationEnd(domain);
     const warmupServices = { settings, view, hosts, clock, metrics, log, findEvacuationEnd };
     this.warmups = new MemberWarmups(warmupServices);
+    const findColdEnd = (entry: MemberEntry): Milliseconds | undefined =>
+      this.warmups.findColdEnd(entry);
+    this.paces = new MemberPaces({ settings, clock, metrics, log, findColdEnd });
     view.onChange(() => this.applyView());
   }
 
@@ -238,6 +244,7 @@
 
   onReachable(entry: MemberEntry, isReachable: boolean): void {
     this.warmups.recordReachable(entry, isReachable);
+    this.paces.recordReachable(entry, isReachable);
   }
 
   onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void {
@@ -271,6 +278,7 @@
   /** Recomputes the pools' limits, which depend on the hosts that answer, and closes connections. */
   private runMaintenance(): void {
     this.warmups.update();
+    this.paces.update(this.view.members.values());
     for (const { entry, limits, pool } of this.states.values()) {
       Object.assign(limits, this.hosts.computeBudget(entry));
       pool.trim();
@@ -282,10 +290,12 @@
       const entry = this.view.members.get(id);
       if (entry !== undefined && isSameEndpoint(entry, state.entry)) continue;
       this.states.delete(id);
+      this.paces.remove(id);
       state.pool.close();
     }
     for (const entry of this.view.members.values()) this.setMember(entry);
     this.warmups.applyView();
+    this.paces.update(this.view.members.values());
     this.primaryTracker.notifyWaiters();
   }
 
@@ -303,7 +313,7 @@
       entry,
       pool,
       limits,
-      slotGate: new SlotGate(entry.slots, this.clock),
+      slotGate: new SlotGate(entry.slots, this.clock, this.paces.create(entry)),
       reportedPosition: undefined,
       laggingUntil,
       consecutiveLagRefusals: 0,
--- a/packages/gateway/src/members/member-warmups.ts
+++ b/packages/gateway/src/members/member-warmups.ts
@@ -78,6 +78,11 @@
     return this.findCold(entry, this.services.clock.now()) !== undefined;
   }
 
+  /** @returns when a member's cold state ends, if it counts as cold at this instance */
+  findColdEnd(entry: MemberEntry): Milliseconds | undefined {
+    return this.findCold(entry, this.services.clock.now())?.endsAt;
+  }
+
   /** Records that a member accepted a connection, or that the last connection to it failed. */
   recordReachable(entry: MemberEntry, isReachable: boolean): void {
     const now = this.services.clock.now();
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -105,6 +105,13 @@
     registers: [this.registry],
   });
 
+  readonly memberLimit = new Gauge({
+    name: 'heatherledge_gateway_member_limit',
+    help: 'Statements that may run at once at a member that this instance sends to, if adaptive.',
+    labelNames: ['member'] as const,
+    registers: [this.registry],
+  });
+
   readonly coldMembers = new Gauge({
     name: 'heatherledge_gateway_cold_members',
     help: 'Members that started recently and get only a limited number of statements.',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -24,8 +24,16 @@
   readonly maxEvacuationDelayMs?: Milliseconds | undefined;
   /** Tolerated excess over the pace of members that have just started; undefined without a bound. */
   readonly warmupTolerance?: WarmupTolerance | undefined;
+  /** How the concurrency limits of members are found; `fixed` without it. */
+  readonly memberPace?: MemberPaceMode | undefined;
 }
 
+/**
+ * How many statements may run at a member at once: its slots and one more, or what is found from how it
+ * answers, up to that.
+ */
+export type MemberPaceMode = 'fixed' | 'adaptive';
+
 /** How far a member that has just started may get more requests than its pace in one second. */
 export interface WarmupTolerance {
   /** Factor on the pace. */
