--- a/packages/core/src/hosting/member-pace.ts
+++ b/packages/core/src/hosting/member-pace.ts
@@ -48,13 +48,13 @@
 const MIN_STATEMENTS = 1;
 /** Steps in which the limit rises from its lower bound to the full value. */
 const RISE_STEPS = 8;
-/** Minimum time between two steps; eight of them take 1.6 s. */
-const RISE_INTERVAL_MS = 200;
+/** Minimum time between two steps; eight of them take 0.8 s. */
+const RISE_INTERVAL_MS = 100;
 /**
- * The same at the limit at which the member last showed overload. With 200 ms, a member that bears one
- * statement less than its slots refuses up to five statements in each second.
+ * The same at the limit at which the member last showed overload. With 100 ms, a member that bears one
+ * statement less than its slots refuses up to ten statements in each second.
  */
-const RETRY_INTERVAL_MS = 2000;
+const RETRY_INTERVAL_MS = 1000;
 /** Remaining part of the limit after a sign of overload. */
 const BUSY_FACTOR = 0.7;
 const LOST_FACTOR = 0.5;
@@ -67,15 +67,19 @@
 const MAX_LOST_SHARE = 0.25;
 /** A member that received nothing for longer may have been served by another host, or restarted. */
 const MAX_IDLE_MS = 5000;
-/** Part of the full limit that a cold member gets, and a slow one within the callers' objectives. */
+/** Part of the full limit that a cold member gets. */
 const REDUCED_FRACTION = 0.5;
 
+/** What a queue needs of the limit of its member. */
+export type StatementLimit = Pick<MemberPace, 'limit' | 'recordEnd'>;
+
 /**
  * Finds how many statements may run at a member at once, from how it answers.
  *
  * Load pattern: a member starts cold, is slow by a factor, flaps or refuses part of its statements. The
  * limit falls at once by a factor, and rises by steps while the member answers well at its full limit.
- * It stays between one statement and the full limit.
+ * Answers that are slower, but within the callers' objectives, only hold it. It stays between one
+ * statement and the full limit.
  */
 export class MemberPace {
   private current = MIN_STATEMENTS;
@@ -163,10 +167,10 @@
     const startedAt = now - elapsedMs;
     const mayFall = this.fallenAt === undefined || startedAt >= this.fallenAt;
     if (outcome === 'busy') {
-      if (mayFall) this.fall('busy', BUSY_FACTOR, MIN_STATEMENTS, end, now);
+      if (mayFall) this.fall('busy', BUSY_FACTOR, end, now);
     } else if (outcome === 'lost') {
       const hasLostMany = this.lostShare > MAX_LOST_SHARE;
-      if (mayFall && hasLostMany) this.fall('lost', LOST_FACTOR, MIN_STATEMENTS, end, now);
+      if (mayFall && hasLostMany) this.fall('lost', LOST_FACTOR, end, now);
     } else if (outcome === 'answered') this.recordAnswer(end, now, mayFall);
   }
 
@@ -186,9 +190,8 @@
     if (level !== 'usual') {
       this.borne = 0;
       // Within the objective fewer statements at once only leave the member idle.
-      const floor = level === 'slow' ? this.reducedLimit : MIN_STATEMENTS;
       const isDue = this.fallenAt === undefined || now - this.fallenAt >= SLOW_INTERVAL_MS;
-      if (mayFall && isDue) this.fall('slow', SLOW_FACTOR, floor, end, now);
+      if (level === 'late' && mayFall && isDue) this.fall('slow', SLOW_FACTOR, end, now);
       return;
     }
     if (end.running < Math.floor(this.current) || this.lostShare > MAX_LOST_SHARE) return;
@@ -208,18 +211,17 @@
   private fall(
     cause: PaceCause,
     factor: number,
-    floor: number,
     { priority }: StatementEnd,
     now: Milliseconds,
   ): void {
-    const next = Math.max(MIN_STATEMENTS, floor, this.current * factor);
+    const next = Math.max(MIN_STATEMENTS, this.current * factor);
     this.fallenAt = now;
     if (next >= this.current) {
       this.borne = 0;
       return;
     }
-    // Lost replies tell of an outage, after which the member bears what it did before.
-    if (cause !== 'lost') this.overloadedAtLimit = Math.floor(this.current);
+    // After an outage the member bears what it did before, and a slow one holds the limit by itself.
+    if (cause === 'busy') this.overloadedAtLimit = Math.floor(this.current);
     this.set(cause, next, now, priority);
   }
 
--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_COST_MS, SlotTimeFairQueue } from '../fairness/slot-time-fair-queue.js';
 import { WaitEstimator } from '../serving/wait-estimator.js';
 import type { Milliseconds, OrganisationId } from '../types/ids.js';
-import type { MemberPace, StatementOutcome } from './member-pace.js';
+import type { StatementLimit, StatementOutcome } from './member-pace.js';
 import {
   computeMaxHoldMs,
   computeRetryAfterMs,
@@ -74,7 +74,7 @@
    */
   constructor(
     private readonly slots: number,
-    private readonly pace?: MemberPace,
+    private readonly pace?: StatementLimit,
   ) {}
 
   /** @returns number of statements that run or wait */
--- a/packages/lab/src/bin/experiment.ts
+++ b/packages/lab/src/bin/experiment.ts
@@ -5,6 +5,8 @@
  */
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { LIMIT_FACTORIES, LimitExperiment } from '../placement/limits/limit-experiment.js';
+import { LIMIT_PATTERNS } from '../placement/limits/limit-patterns.js';
 import { LOAD_PATTERNS } from '../placement/load-patterns.js';
 import { PlacementExperiment, type PlacementResult } from '../placement/placement-experiment.js';
 import { POLICY_PLANS } from '../placement/policies.js';
@@ -12,7 +14,7 @@
 const options = yargs(hideBin(process.argv))
   .options({
     pattern: {
-      choices: LOAD_PATTERNS.map(({ name }) => name),
+      choices: [...LOAD_PATTERNS, ...LIMIT_PATTERNS].map(({ name }) => name),
       describe: 'one pattern (default: all)',
     },
     instances: { type: 'number', default: 195, describe: 'instances of the fleet' },
@@ -54,3 +56,18 @@
     } else printLine(formatRow(plan.name, formatResult(result)));
   }
 }
+
+const LIMIT_COLUMNS = ['in objective', 'worst org.', 'to full ms', 'not borne'];
+
+for (const pattern of LIMIT_PATTERNS) {
+  if (options.pattern !== undefined && options.pattern !== pattern.name) continue;
+  if (!options.json) printLine(`\n${formatRow(pattern.name, LIMIT_COLUMNS)}  ${pattern.describe}`);
+  for (const [name, createLimit] of LIMIT_FACTORIES) {
+    const result = new LimitExperiment(pattern, createLimit, options.seed).run();
+    const { inObjective, worstOrganisation, toFullMs, notBorne } = result;
+    const shares = [inObjective, worstOrganisation].map((share) => share.toFixed(4));
+    if (options.json) {
+      printLine(JSON.stringify({ pattern: pattern.name, limit: name, ...result }));
+    } else printLine(formatRow(name, [...shares, toFullMs.toFixed(0), notBorne.toFixed(0)]));
+  }
+}
