--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -1,6 +1,5 @@
 import {
   type Clock,
-  type MemberPace,
   MemberSlotQueue,
   type OrganisationId,
   PIPELINED_STATEMENTS,
@@ -8,6 +7,7 @@
   type SlotRequest,
   type SlotTicket,
   type SlotUse,
+  type StatementLimit,
   type StatementOutcome,
   toMilliseconds,
   TransactionBudget,
@@ -74,7 +74,7 @@
   constructor(
     slots: number,
     private readonly clock: Clock,
-    pace?: MemberPace,
+    pace?: StatementLimit,
   ) {
     this.queue = new MemberSlotQueue(slots, pace);
     this.transactions = new TransactionBudget(slots + PIPELINED_STATEMENTS);
