--- a/packages/core/src/hosting/member-slot-queue.ts
+++ b/packages/core/src/hosting/member-slot-queue.ts
@@ -1,14 +1,12 @@
 import type { FairQueueRequest, WaitingRequest } from '../fairness/organisation-requests.js';
-import {
-  DEFAULT_COST_MS,
-  type SlotCharge,
-  SlotTimeFairQueue,
-} from '../fairness/slot-time-fair-queue.js';
+import { DEFAULT_COST_MS, SlotTimeFairQueue } from '../fairness/slot-time-fair-queue.js';
 import { WaitEstimator } from '../serving/wait-estimator.js';
 import type { Milliseconds, OrganisationId } from '../types/ids.js';
+import type { StatementLimit, StatementOutcome } from './member-pace.js';
 import {
   computeMaxHoldMs,
   computeRetryAfterMs,
+  createUse,
   type RejectionCause,
   type SlotDecision,
   type SlotRejection,
@@ -72,8 +70,14 @@
 
   private checkedAt = 0;
 
-  /** @param slots - statements that the member runs at the same time */
-  constructor(private readonly slots: number) {}
+  /**
+   * @param slots - statements that the member runs at the same time
+   * @param pace - limit found from the member's answers; without it, the slots and one more
+   */
+  constructor(
+    private readonly slots: number,
+    private readonly pace?: StatementLimit,
+  ) {}
 
   /** @returns number of statements that run or wait */
   get pending(): number {
@@ -90,10 +94,10 @@
   request(request: SlotRequest, now: Milliseconds): SlotDecision {
     const { organisation = ANONYMOUS, priority, isInTransaction = false } = request;
     const queue = this.getQueue(priority);
-    if (this.running < this.slots + PIPELINED_STATEMENTS && this.countWaiting() === 0) {
+    if (this.running < this.getLimit(now) && this.countWaiting() === 0) {
       this.running += 1;
       const charge = queue.waiting.charge(organisation, request.weight);
-      return { kind: 'granted', use: { priority, charge, startedAt: now } };
+      return { kind: 'granted', use: createUse(priority, charge, request, now) };
     }
     const waiting: FairQueueRequest = { ...request, organisation, isInTransaction };
     const waitMs = this.estimateWait(queue, waiting, now);
@@ -114,17 +118,22 @@
    * @returns the waiting statement that runs next, if there is one
    */
   release(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
+    this.running -= 1;
+    return this.startNext(now);
+  }
+
+  /** @returns a waiting statement that may run now, as after a rise of the limit, if there is one */
+  startNext(now: Milliseconds): (SlotTicket & { readonly use: SlotUse }) | undefined {
+    if (this.running >= this.getLimit(now)) return undefined;
     if (now - this.checkedAt >= CHECK_INTERVAL_MS) this.removeUnservable(now);
     for (const queue of this.queues) {
       const { priority } = queue;
       const next = this.shift(queue, now);
       if (next === undefined) continue;
       this.recordDequeue(priority, next.costMs, now);
-      const { ticket, organisation, costMs } = next;
-      const charge: SlotCharge = { organisation, costMs };
-      return { priority, ticket, use: { priority, charge, startedAt: now } };
+      this.running += 1;
+      return { priority, ticket: next.ticket, use: createUse(priority, next, next, now) };
     }
-    this.running -= 1;
     return undefined;
   }
 
@@ -134,10 +143,19 @@
    * @param use - how it used its slot
    * @param now - current time
    * @param hasReply - whether the member replied; a lost reply tells nothing about its speed
+   * @param outcome - how it ended, for the limit of the member
    */
-  recordEnd({ priority, charge, startedAt }: SlotUse, now: Milliseconds, hasReply: boolean): void {
+  recordEnd(
+    use: SlotUse,
+    now: Milliseconds,
+    hasReply: boolean,
+    outcome: StatementOutcome = hasReply ? 'answered' : 'lost',
+  ): void {
+    const { priority, charge, startedAt, objectiveMs } = use;
+    const elapsedMs = now - startedAt;
+    this.pace?.recordEnd({ priority, elapsedMs, outcome, objectiveMs, running: this.running }, now);
     const queue = this.queues.find((other) => other.priority === priority);
-    queue?.waiting.recordEnd(charge, now - startedAt, hasReply);
+    queue?.waiting.recordEnd(charge, elapsedMs, hasReply);
   }
 
   /**
@@ -183,7 +201,7 @@
   private removeUnservable(now: Milliseconds): void {
     this.checkedAt = now;
     let urgentMs = 0;
-    const concurrency = this.slots + PIPELINED_STATEMENTS;
+    const concurrency = this.getLimit(now);
     for (const queue of this.queues) {
       const { waiting } = queue;
       if (waiting.size === 0) continue;
@@ -268,7 +286,7 @@
   private estimateDuration(workMs: number, now: Milliseconds): number {
     const ahead = workMs / DEFAULT_COST_MS;
     if (this.computeMeanMs() === undefined) return this.waitEstimator.estimateWait(ahead, now);
-    const durationMs = workMs / (this.slots + PIPELINED_STATEMENTS);
+    const durationMs = workMs / this.getLimit(now);
     // A stalled queue is not expected to move faster than it did since its last statement left.
     return workMs > 0 ? Math.max(durationMs, this.waitEstimator.computeStallMs(now)) : durationMs;
   }
@@ -293,6 +311,10 @@
     return queue;
   }
 
+  private getLimit(now: Milliseconds): number {
+    return this.pace?.limit(now) ?? this.slots + PIPELINED_STATEMENTS;
+  }
+
   private countWaiting(): number {
     let count = 0;
     for (const { waiting } of this.queues) count += waiting.size;
