--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,6 +49,7 @@
 export * from './serving/evacuation-window.js';
 export * from './serving/fleet-settings.js';
 export * from './serving/term-position.js';
+export * from './serving/urgent-routes.js';
 export * from './serving/failure-ratio-tracker.js';
 export * from './serving/log-sample-history.js';
 export * from './serving/wait-estimator.js';
--- a/packages/core/test/units/urgent-admission.test.ts
+++ b/packages/core/test/units/urgent-admission.test.ts
@@ -3,8 +3,11 @@
   AdmissionQueue,
   type AdmissionRules,
   DEFAULT_LOAN_TIMINGS,
+  type FleetSettings,
   type InstanceId,
   type OrganisationId,
+  prefersUrgentRoutes,
+  type Route,
   toBrand,
   toMilliseconds,
   UrgencyReserve,
@@ -156,3 +159,17 @@
     expect(reserve.computeReserve(0, share, at(1000))).toBe(0);
   });
 });
+
+describe('preference of urgent routes', () => {
+  function createSettings(...priorities: readonly number[]): FleetSettings {
+    const routes = priorities.map((priority) => [`d${priority}`, { priority } as Route] as const);
+    return { routesByDatabase: new Map(routes) } as unknown as FleetSettings;
+  }
+
+  // Guards against deployments whose callers are refused in another order although no route is urgent.
+  it('is asked for by a route of the highest priority only', () => {
+    expect(prefersUrgentRoutes(createSettings(1, 2))).toBe(false);
+    expect(prefersUrgentRoutes(createSettings(0, 1, 2))).toBe(true);
+    expect(prefersUrgentRoutes(createSettings())).toBe(false);
+  });
+});
--- a/packages/gateway/src/sessions/admission.ts
+++ b/packages/gateway/src/sessions/admission.ts
@@ -2,6 +2,7 @@
   type AllowedRegions,
   type KeyDigest,
   type OrganisationId,
+  prefersUrgentRoutes,
   ProxyError,
   resolveAllowedRegions,
   type Route,
@@ -11,12 +12,6 @@
 import type { WireError } from '../ports/caller-protocol.js';
 import type { Grant, GrantChecker } from './grants.js';
 
-/**
- * Only routes of the highest priority, 0, get the tokens of an organisation first. Settings without such
- * routes ask for no preference: their requests are admitted in the order of their arrival.
- */
-const ORDINARY_PRIORITY = 1;
-
 /** Services needed to admit operations. */
 export interface AdmissionServices {
   readonly view: FleetView;
@@ -45,8 +40,7 @@
     const grant = this.resolveGrant(database, key);
     if ('code' in grant || grant.organisation === undefined) return grant;
     try {
-      const priority = Math.min(grant.route.priority, ORDINARY_PRIORITY);
-      await this.services.limits.admit(grant.organisation, priority);
+      await this.services.limits.admit(grant.organisation, this.resolvePriority(grant));
     } catch (error) {
       if (!(error instanceof ProxyError)) throw error;
       return { code: 'busy', text: error.message };
@@ -71,6 +65,12 @@
     return this.checkKey(route, key, key && settings.organisationByKey.get(key));
   }
 
+  /** Resolves the priority with which an operation gets a token of its organisation's rate. */
+  private resolvePriority({ route }: Grant): number {
+    const { settings } = this.services.view;
+    return settings !== undefined && prefersUrgentRoutes(settings) ? route.priority : 0;
+  }
+
   private checkKey(
     route: Route,
     key: KeyDigest | undefined,
