Refuse statements of open transactions at the queue when their timeout has passed

A waiting statement of an open transaction was never removed from a member's queue, although it is to wait until its deadline only: it is exempt from early removal, and the exemption covered the deadline as well. While the member was slow, a commit could get its slot after its timeout and was then sent, although its caller had been told of a failure. Such statements now count as too late at their deadline. The new test was still waiting after its timeout before; 124 tests of hosting and of the queue pass.

--- a/packages/core/src/fairness/slot-time-fair-queue.ts
+++ b/packages/core/src/fairness/slot-time-fair-queue.ts
@@ -169,7 +169,8 @@
 
   /**
    * Removes the requests that can no longer meet their deadlines, because those of their own
-   * organisation and those of more urgent classes take the slots for too long.
+   * organisation and those of more urgent classes take the slots for too long, and the requests of open
+   * transactions whose deadlines have passed.
    *
    * @param now - current time
    * @param urgentMs - slot time of the waiting requests of more urgent classes, in milliseconds
@@ -183,8 +184,10 @@
       let aheadMs = urgentMs;
       for (let index = 0; index < state.waiting.length; index += 1) {
         const request = state.waiting[index] as WaitingRequest;
-        const start = now + (hasMeasured ? aheadMs / concurrency : 0);
-        if (request.isInTransaction || start <= request.latestStart) {
+        // The work of an open transaction would be lost, so its statements wait until their deadlines.
+        const isEstimated = hasMeasured && !request.isInTransaction;
+        const start = now + (isEstimated ? aheadMs / concurrency : 0);
+        if (start <= request.latestStart) {
           aheadMs += request.costMs;
           continue;
         }
--- a/packages/gateway/test/hosting/slot-gate.test.ts
+++ b/packages/gateway/test/hosting/slot-gate.test.ts
@@ -93,6 +93,21 @@
    * Load pattern: a member takes seven times as long, 270 ms and more for a statement. If slots were
    * released after a fixed 150 ms, it would get more statements than it runs, and refuse some.
    */
+  // Guards against a commit that is sent when its caller has been told of a failure.
+  it('refuses a statement of an open transaction when its timeout has passed, and not before', async () => {
+    await fill();
+    let result: SlotResult | undefined;
+    const request = { organisation: undefined, weight: 1, priority: -1, isInTransaction: true };
+    void gate.acquire({ ...request, maxEstimatedWaitMs: 100, waitMs: 100 }).then((ended) => {
+      result = ended;
+    });
+    await advance(95);
+    expect(result).toBeUndefined();
+    await advance(10);
+    expect(result).toMatchObject({ kind: 'timeout', cause: 'deadline' });
+    expect(gate.pending).toBe(CONCURRENCY);
+  });
+
   it('keeps a slot occupied until the reply of a slow member', async () => {
     // Its statements took 60 ms before.
     for (let round = 0; round < 20; round += 1) {
