Refuse reads at once whose allowed regions are wholly evacuated

A read whose allowed regions had only members of evacuated failure domains was retried until its timeout, since those members are listed: it ended as busy, but late, with a text that no member was known to hold recent data. It is now refused at once, with the cause, as when no member is listed there. It counts as an evacuation refusal.

--- a/packages/gateway/src/fleet/region-directory.ts
+++ b/packages/gateway/src/fleet/region-directory.ts
@@ -47,11 +47,10 @@
     return domain !== undefined && isRegionAllowed(this.findRegion(domain), allowed);
   }
 
-  /** @returns whether a listed member of a group is in one of the regions */
-  hasMember(group: GroupId, allowed: AllowedRegions): boolean {
-    for (const entry of this.view.members.values()) {
-      if (entry.group === group && this.mayReachMember(entry, allowed)) return true;
-    }
-    return false;
+  /** @returns the listed members of a group that are in one of the regions */
+  listMembers(group: GroupId, allowed: AllowedRegions): MemberEntry[] {
+    return [...this.view.members.values()].filter(
+      (entry) => entry.group === group && this.mayReachMember(entry, allowed),
+    );
   }
 }
--- a/packages/gateway/src/sessions/region-rules.ts
+++ b/packages/gateway/src/sessions/region-rules.ts
@@ -18,8 +18,11 @@
   'primary-elsewhere': 'the primary is outside the allowed regions',
 };
 
+const EVACUATED_TEXT = 'the failure domains of all members in the allowed regions are evacuated';
+
 /**
- * Finds out whether a request must be rejected at once because of its allowed regions, and counts it.
+ * Finds out whether a request must be rejected at once because of its allowed regions, and counts it. What
+ * only the primary can run is not checked for evacuations here, since the primary may change meanwhile.
  *
  * @param services - services of the session
  * @param grant - the caller's route and organisation
@@ -37,12 +40,16 @@
   const needsPrimary = access === 'primary' || route.consistency === 'latest';
   const primary = memberRegistry.primaryTracker.find(route.group);
   const reason = findRegionRefusalReason(allowed, {
-    hasMember: memberRegistry.hosts.regions.hasMember(route.group, allowed),
+    hasMember: memberRegistry.hosts.regions.listMembers(route.group, allowed).length > 0,
     needsPrimary,
     isPrimaryAllowed:
       primary === undefined ? undefined : mayReachMember(memberRegistry, grant, primary),
   });
-  if (reason === undefined) return undefined;
+  if (reason === undefined) {
+    if (needsPrimary || hasUsableMember(memberRegistry, grant)) return undefined;
+    metrics.evacuationRefusals.inc({ access: 'read' });
+    return { code: 'busy', text: EVACUATED_TEXT };
+  }
   metrics.homeRefusals.inc({ reason });
   return { code: 'busy', text: TEXT_BY_REASON[reason] };
 }
@@ -65,6 +72,14 @@
   return readers.filter(({ id }) => mayReachMember(memberRegistry, grant, id));
 }
 
+/** Checks whether the allowed regions have a member to which something may be sent. */
+function hasUsableMember({ hosts, evacuationGuard }: MemberRegistry, grant: Grant): boolean {
+  const { allowedRegions, route } = grant;
+  if (allowedRegions === undefined) return true;
+  const members = hosts.regions.listMembers(route.group, allowedRegions);
+  return members.some((entry) => evacuationGuard.mayUse(entry));
+}
+
 /** Checks whether the allowed regions permit a member; one that is not listed is in no region. */
 export function mayReachMember(
   memberRegistry: MemberRegistry,
--- a/packages/gateway/test/units/region-rules.test.ts
+++ b/packages/gateway/test/units/region-rules.test.ts
@@ -1,6 +1,7 @@
-import { toMilliseconds } from '@heatherledge/core';
+import { computeEvacuationWindow, toMilliseconds } from '@heatherledge/core';
 import { beforeEach, describe, expect, it, vi } from 'vitest';
-import { createRegionRoute } from '../fixtures/region-fleet.js';
+import type { StoreRevision } from '../../src/index.js';
+import { createRegionMember, createRegionRoute } from '../fixtures/region-fleet.js';
 import { RegionSession } from '../fixtures/region-session.js';
 
 describe('statements with allowed regions', () => {
@@ -90,6 +91,20 @@
       );
     });
 
+    /** Guards against reads that wait until their timeout for members to which nothing may be sent. */
+    it('are rejected at once if all members in the regions are evacuated', async () => {
+      const grant = session.restrict(['north']);
+      const window = computeEvacuationWindow(toMilliseconds(0), undefined, toMilliseconds(5000));
+      const evacuation = { revision: 1 as StoreRevision, learnedAt: toMilliseconds(0), window };
+      const domains = new Map([['north-1', evacuation]]);
+      vi.spyOn(session.fleet.view, 'evacuatedDomains', 'get').mockReturnValue(domains);
+      const text = 'the failure domains of all members in the allowed regions are evacuated';
+      await session.expectRefusal(async () => session.read(grant), text);
+      session.fleet.setMembers(createRegionMember('north-b', 'north-2'));
+      expect((await session.read(grant)).error).toBeUndefined();
+      expect(session.listMembers()).toEqual(['north-b']);
+    });
+
     /** Guards against members of unknown failure domains that count as members of every region. */
     it.each([[['nowhere']], [['x']], [['']], [['__proto__', 'constructor']]])(
       'are rejected at once if no member is in the regions %j',
