Let a draining primary wait for a replica outside evacuated domains

The coordinator replaced a draining primary as soon as any replica had received its log. If that was one of an evacuated domain, it was promoted, since no other held the whole log any more, and writes were refused until the next switchover, although a replica elsewhere was about to catch up. Replicas of evacuated domains now count only if there are no others; the wait is bounded as before.

--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -251,16 +251,23 @@
     return status?.role !== 'primary' || this.hasCaughtUpReplica(group, member, status);
   }
 
-  /** Checks whether a listed member that is not draining has received all that the primary holds. */
+  /**
+   * Checks whether a listed member that is not draining has received all that the primary holds. One in an
+   * evacuated domain counts only if all are: it would be promoted, and then get no writes.
+   */
   private async hasCaughtUpReplica(
     group: GroupId,
     primary: MemberId,
     { received }: MemberStatus,
   ): Promise<boolean> {
     const { view, control } = this.services;
-    const others = view
+    const available = view
       .listMembers(group)
       .filter(({ id, isDraining }) => id !== primary && !isDraining);
+    const outside = available.filter(
+      ({ failureDomain }) => !view.evacuatedDomains.has(failureDomain),
+    );
+    const others = outside.length > 0 ? outside : available;
     const statuses = await Promise.all(
       others.map(async (other) => control.sendCommand(other, { kind: 'status' })),
     );
--- a/packages/gateway/test/units/primary-monitor.test.ts
+++ b/packages/gateway/test/units/primary-monitor.test.ts
@@ -45,6 +45,8 @@
   let isSilent: boolean;
   /** Whether the replica has received all that the primary holds. */
   let hasCaughtUp: boolean;
+  /** Replicas that have not, in any case. */
+  let lagging: Set<MemberId>;
   /** Whether the primary responds to commands. */
   let isPrimaryUp: boolean;
   let sent: { to: InstanceId; body: PeerBody }[];
@@ -61,6 +63,7 @@
     isCoordinator = false;
     isSilent = false;
     hasCaughtUp = false;
+    lagging = new Set();
     isPrimaryUp = true;
     coordinator = 'other/7';
     sent = [];
@@ -102,9 +105,10 @@
       control: {
         sendCommand: async ({ id }: MemberEntry) => {
           if (id === PRIMARY && !isPrimaryUp) return undefined;
+          const isCurrent = id === PRIMARY || (hasCaughtUp && !lagging.has(id));
           return {
             role: id === PRIMARY ? 'primary' : 'replica',
-            received: { term: 1, position: id === PRIMARY || hasCaughtUp ? 9 : 5 },
+            received: { term: 1, position: isCurrent ? 9 : 5 },
           };
         },
       },
@@ -254,6 +258,23 @@
       members.set(PRIMARY, createEntry(PRIMARY, { role: 'primary', isDraining: true }));
     });
 
+    // Guards against a primary in a domain to which nothing is sent while another replica is about to catch up.
+    it('waits for a replica outside the evacuated domains', async () => {
+      const window = computeEvacuationWindow(clock.now(), undefined, toMilliseconds(5000));
+      const evacuation = { revision: toBrand<StoreRevision>(1), learnedAt: clock.now(), window };
+      const outside = toBrand<MemberId>('m3');
+      members.set(REPLICA, createEntry(REPLICA, { failureDomain: 'b' }));
+      members.set(outside, createEntry(outside, { failureDomain: 'c' }));
+      evacuatedDomains = new Map([['b', evacuation]]);
+      hasCaughtUp = true;
+      lagging.add(outside);
+      await advance(3000);
+      expect(attempts).toBe(0);
+      lagging.clear();
+      await advance(200);
+      expect(attempts).toBeGreaterThan(0);
+    });
+
     it('waits for a replica to catch up, but not for long', async () => {
       await advance(3500);
       expect(attempts).toBe(0);
