Leave the wait for a cold member's token out of the slot time

A statement holds its slot while it waits for its token, and the queue took that wait for time that the member needs: after the warm-up it expected hundreds of milliseconds for each statement and refused statements whose wait it estimated from that. The wait no longer counts, neither for the mean times nor for the shares of organisations. In the new test, the queue refused statements of a burst after the warm-up before; the tests of hosting pass.

--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -15,7 +15,7 @@
   type StatementResult,
 } from './member-access.js';
 import { MemberAdmission, type WeightLookup } from './member-admission.js';
-import type { SlotGate } from './slot-gate.js';
+import type { GrantedSlot, SlotGate } from './slot-gate.js';
 import { findConnectionRejection, SILENT_OBSERVER, type SlotObserver } from './slot-rejections.js';
 import type { WarmupGate } from './warmup-gate.js';
 
@@ -79,7 +79,7 @@
     if (admitted.kind === 'refused') return admitted;
     let hasReply = false;
     try {
-      const result = await this.runInSlot(request, startedAt);
+      const result = await this.runInSlot(request, startedAt, admitted);
       hasReply = result.kind === 'answered';
       return result;
     } finally {
@@ -134,7 +134,7 @@
     if (admitted.kind === 'refused') return admitted;
     let hasReply = false;
     try {
-      const acquired = await this.acquire(request, 'confirmed', startedAt);
+      const acquired = await this.acquire(request, 'confirmed', startedAt, admitted);
       if (acquired.kind === 'refused') return acquired;
       const { pool, connection } = acquired;
       const result = await connection.exchangeInSession(
@@ -179,9 +179,10 @@
   private async runInSlot(
     request: StatementRequest,
     startedAt: Milliseconds,
+    slot: GrantedSlot,
   ): Promise<StatementResult> {
     const check = request.access === 'read' ? 'confirmed' : 'known';
-    const acquired = await this.acquire(request, check, startedAt);
+    const acquired = await this.acquire(request, check, startedAt, slot);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
     const sentAt = this.clock.now();
@@ -211,6 +212,7 @@
     request: ConnectionRequest,
     check: PrimaryCheck,
     startedAt: Milliseconds,
+    slot: GrantedSlot,
   ): Promise<AcquiredConnection | AccessRefusal> {
     const pool = this.memberRegistry.findPool(request.member);
     if (pool === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
@@ -234,7 +236,7 @@
     const { connection } = acquired;
     const maxTokenWaitMs = Math.min(deadline - this.clock.now(), maxEstimatedWaitMs);
     const token = this.warmupGate?.take(request, connection, maxTokenWaitMs) ?? 0;
-    if (typeof token === 'number' && token > 0) await waitForToken(pool, token);
+    if (typeof token === 'number' && token > 0) await waitForToken(pool, slot, token);
     const refusal = typeof token === 'number' ? this.findRefusal(request, check) : token;
     if (refusal === undefined) return { kind: 'acquired', pool, connection };
     pool.release(connection);
--- a/packages/gateway/src/hosting/local-member-transaction.ts
+++ b/packages/gateway/src/hosting/local-member-transaction.ts
@@ -5,7 +5,7 @@
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberStatement } from '../ports/member-protocol.js';
 import type { BeginRequest, MemberTransaction } from './member-access.js';
-import type { SlotGate } from './slot-gate.js';
+import type { GrantedSlot, SlotGate } from './slot-gate.js';
 import type { WarmupGate } from './warmup-gate.js';
 
 /** Timeout of a rollback; the connection is dropped after that, which rolls back as well. */
@@ -18,10 +18,16 @@
  * Waits for the token of a cold member; others get connections of the pool in the meantime.
  *
  * @param pool - the member's pool
+ * @param slot - slot that the statement holds; undefined if it needs none
  * @param waitMs - time until the token is due, in milliseconds
  */
-export async function waitForToken(pool: MemberPool, waitMs: number): Promise<void> {
+export async function waitForToken(
+  pool: MemberPool,
+  slot: GrantedSlot | undefined,
+  waitMs: number,
+): Promise<void> {
   pool.serveQueue();
+  slot?.excludeWait(waitMs);
   await delay(waitMs);
 }
 
@@ -98,7 +104,7 @@
     }
     let hasReply = false;
     try {
-      const result = await this.runInSlot(statement, values, timeoutMs, deadline);
+      const result = await this.runInSlot(statement, values, timeoutMs, deadline, admitted);
       hasReply = result.kind === 'answered';
       return result;
     } finally {
@@ -113,19 +119,21 @@
    * @param values - session values that the member must have
    * @param timeoutMs - maximum wait for the token and the reply together, in milliseconds
    * @param deadline - time by which the token must be due; later, the caller has been told of a failure
+   * @param slot - the slot
    */
   private async runInSlot(
     statement: MemberStatement,
     values: ReadonlyMap<string, string>,
     timeoutMs: number,
     deadline: number,
+    slot: GrantedSlot,
   ): Promise<ExchangeResult> {
     const { clock, pool, connection, request, warmupGate, evacuationGuard } = this.options;
     const { member } = request;
     const maxTokenWaitMs = deadline - clock.now();
     const token = warmupGate?.take({ member, values, statement }, connection, maxTokenWaitMs) ?? 0;
     if (typeof token !== 'number') return { kind: 'lost', reason: token.text, wasSent: false };
-    if (token > 0) await waitForToken(pool, token);
+    if (token > 0) await waitForToken(pool, slot, token);
     // Another session may use the connection once the transaction has ended.
     if (this.isEnded) {
       return { kind: 'lost', reason: 'the transaction has ended', wasSent: false };
@@ -149,7 +157,7 @@
   private async rollback(tokenWaitMs: number): Promise<void> {
     const { pool, connection } = this.options;
     if (tokenWaitMs > 0) {
-      await waitForToken(pool, tokenWaitMs);
+      await waitForToken(pool, undefined, tokenWaitMs);
       // A commit that was under way may have ended the transaction meanwhile.
       if (connection.isClosed || connection.transactionState === 'idle') return;
     }
--- a/packages/gateway/src/hosting/member-admission.ts
+++ b/packages/gateway/src/hosting/member-admission.ts
@@ -1,6 +1,6 @@
 import type { Clock, OrganisationId } from '@heatherledge/core';
 import type { AccessRefusal, ConnectionRequest } from './member-access.js';
-import type { SlotGate, SlotResult } from './slot-gate.js';
+import type { GrantedSlot, SlotGate } from './slot-gate.js';
 import {
   createOverloadRefusal,
   type OverloadRejection,
@@ -32,7 +32,7 @@
   async acquireSlot(
     gate: SlotGate,
     request: ConnectionRequest,
-  ): Promise<Extract<SlotResult, { kind: 'granted' }> | AccessRefusal> {
+  ): Promise<GrantedSlot | AccessRefusal> {
     const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
     const { organisation } = credentials;
     const startedAt = this.clock.now();
--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -22,12 +22,21 @@
        * @param hasReply - whether the member replied; true by default
        */
       readonly release: (hasReply?: boolean) => void;
+      /**
+       * Leaves a wait at this instance out of the measured slot time, which tells of the member's speed.
+       *
+       * @param waitMs - time for which nothing was sent to the member, in milliseconds
+       */
+      readonly excludeWait: (waitMs: number) => void;
     }
   | ({
       /** `timeout`: the statement's own timeout passed before its turn. */
       readonly kind: 'timeout' | 'overloaded';
     } & RejectionDetails);
 
+/** A slot that its holder must release. */
+export type GrantedSlot = Extract<SlotResult, { kind: 'granted' }>;
+
 /** How a request to begin a transaction ended. */
 export type TransactionPermit =
   | {
@@ -131,6 +140,7 @@
   private createGrant(use: SlotUse): SlotResult {
     let isHeld = true;
     let isEnded = false;
+    let excludedMs = 0;
     const free = (): void => {
       if (!isHeld) return;
       isHeld = false;
@@ -143,10 +153,14 @@
     const release = (hasReply = true): void => {
       if (isEnded) return;
       isEnded = true;
-      this.queue.recordEnd(use, this.clock.now(), hasReply);
+      const startedAt = toMilliseconds(use.startedAt + excludedMs);
+      this.queue.recordEnd({ ...use, startedAt }, this.clock.now(), hasReply);
       free();
     };
-    return { kind: 'granted', release };
+    const excludeWait = (waitMs: number): void => {
+      excludedMs += waitMs;
+    };
+    return { kind: 'granted', release, excludeWait };
   }
 
   private scheduleExpiry(delayMs: number): NodeJS.Timeout {
--- a/packages/gateway/test/hosting/cold-members.test.ts
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -182,6 +182,23 @@
     expect(standby.changes).toEqual([]);
   });
 
+  it('is not taken for slow because statements waited for its tokens (guards against refusals at the queue after the warm-up)', async () => {
+    const entry = { ...COLD, warmupRemainingMs: toMilliseconds(4000) };
+    const [host] = startAll(['i0'], entry) as [WarmupInstance];
+    await advance(3900, offerLoad([host]));
+    await advance(600);
+    expect(host.changes).toEqual(['cold', 'warm']);
+    results.length = 0;
+    // More statements than the member runs at once, so that some wait at the queue.
+    for (let count = 0; count < 40; count += 1) {
+      void host.access
+        .run(createRead({ maxEstimatedWaitMs: 60 }))
+        .then((result) => results.push(result));
+    }
+    await advance(500);
+    expect(results.map(({ kind }) => kind)).toEqual(Array(40).fill('answered'));
+  });
+
   it('is warm again after a failure of the link alone (guards against a slow member after a lost link)', async () => {
     const [host] = startAll(['i0'], WARM) as [WarmupInstance];
     const load = offerLoad([host]);
