Take no connection that this instance discards for a failure of its member

An instance drops connections that were left inside a transaction, refused their setup or lost a prepared statement. If it was the only one, that counted as the failure of all connections, and the member as cold from the next connection on, for up to 2.5 s: nearly all statements of a member with little load were refused. Such a connection works, and now counts as closed by decision; a time-out or a broken connection still is a failure.

--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -54,7 +54,7 @@
 
   isClosed = false;
 
-  /** Whether this instance closed the connection because it was not needed. */
+  /** Whether this instance closed a connection that worked, as one that is not needed. */
   isOrderlyClosed = false;
 
   /** State of the transaction in the last reply. */
@@ -157,7 +157,7 @@
       timeoutMs,
     );
     if (result.kind === 'lost' || result.reply.error?.code !== 'unknown-name') return result;
-    this.destroy('does not know a statement that was prepared');
+    this.discard('does not know a statement that was prepared');
     return { kind: 'lost', reason: 'the member lost a prepared statement', wasSent: false };
   }
 
@@ -226,6 +226,16 @@
     this.channel.close();
   }
 
+  /**
+   * Drops a connection that cannot be used further although it works, which says nothing about the member.
+   *
+   * @param reason - why; part of the error that callers receive
+   */
+  discard(reason: string): void {
+    this.isOrderlyClosed = true;
+    this.destroy(reason);
+  }
+
   /**
    * Drops the connection and fails its pending commands.
    *
@@ -282,7 +292,7 @@
   /** Drops the connection, whose state is unknown after the member refused to set it up. */
   private dropAfterRefusal(command: MemberCommand, code: WireError['code']): ExchangeResult {
     const reason = `refused ${command.kind}: ${code}`;
-    this.destroy(reason);
+    this.discard(reason);
     return { kind: 'lost', reason, wasSent: false };
   }
 
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -158,7 +158,7 @@
    * @param connection - must be outside a transaction; otherwise it is destroyed
    */
   release(connection: MemberConnection): void {
-    if (connection.transactionState !== 'idle') connection.destroy('left inside a transaction');
+    if (connection.transactionState !== 'idle') connection.discard('left inside a transaction');
     if (!this.busy.delete(connection) || connection.isClosed) return;
     if (this.isClosed) {
       connection.close();
@@ -204,7 +204,7 @@
 
   /** Drops an acquired connection whose state is unknown. */
   discard(connection: MemberConnection, reason: string): void {
-    connection.destroy(reason);
+    connection.discard(reason);
   }
 
   /** Closes connections that are not needed; called periodically. */
--- a/packages/gateway/test/hosting/cold-members.test.ts
+++ b/packages/gateway/test/hosting/cold-members.test.ts
@@ -1,6 +1,11 @@
 import { type MemberEntry, type Milliseconds, toMilliseconds } from '@heatherledge/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { createPreparedStatement, MemberWarmups, type StatementResult } from '../../src/index.js';
+import {
+  createPreparedStatement,
+  type MemberPool,
+  MemberWarmups,
+  type StatementResult,
+} from '../../src/index.js';
 import {
   createRead,
   MEMBER,
@@ -199,6 +204,27 @@
     expect(results.map(({ kind }) => kind)).toEqual(Array(40).fill('answered'));
   });
 
+  it('is not one whose only connection this instance has discarded (guards against limits after a transaction that could not be rolled back)', async () => {
+    const [host] = startAll(['i0'], WARM) as [WarmupInstance];
+    const pool = host.registry.findPool(MEMBER) as MemberPool;
+    const { credentials, values, priority } = createRead();
+    const { organisation } = credentials;
+    const waits = { waitMs: 100, maxEstimatedWaitMs: 100, priority };
+    const acquired = pool.acquire({ organisation, session: { values }, ...waits });
+    await advance(5);
+    const result = await acquired;
+    if (result.kind !== 'connection') throw new Error(result.reason);
+    const { connection } = result;
+    void connection.exchange({ kind: 'begin', readOnly: true, waitFor: undefined }, 100);
+    await advance(5);
+    expect(connection.transactionState).toBe('open');
+    pool.release(connection);
+    void host.access.run(createRead());
+    await advance(100);
+    expect(host.connector.channels).toHaveLength(2);
+    expect(host.changes).toEqual([]);
+  });
+
   it('is warm again after a failure of the link alone (guards against a slow member after a lost link)', async () => {
     const [host] = startAll(['i0'], WARM) as [WarmupInstance];
     const load = offerLoad([host]);
