--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -2,18 +2,16 @@
   type Clock,
   type ConfirmationTracker,
   type GroupId,
-  type TermPosition,
   type MemberEntry,
   type MemberId,
   type Milliseconds,
-  FailureRatioTracker,
-  MemberLoadTracker,
+  type MemberLoadTracker,
   type ReadMemberState,
   toMilliseconds,
 } from '@heatherledge/core';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { HostDirectory } from '../hosting/host-directory.js';
-import { SlotGate } from '../hosting/slot-gate.js';
+import type { SlotGate } from '../hosting/slot-gate.js';
 import type { MemberConnector, PrepareCommand } from '../ports/member-protocol.js';
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
@@ -22,8 +20,9 @@
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
 import { isSameEndpoint } from './member-endpoint.js';
 import { MemberPool } from './member-pool.js';
+import { createMemberState, type MemberState } from './member-state.js';
 import { MemberWarmups } from './member-warmups.js';
-import type { PoolLimits, PoolListener } from './pool-listener.js';
+import type { PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
 /** Maximum number of requests that wait for a connection to one member. */
@@ -41,24 +40,6 @@
 /** Time for which other members are preferred after a host could not reach this one. */
 const UNREACHABLE_TTL_MS = 600;
 
-interface MemberState {
-  readonly entry: MemberEntry;
-  readonly pool: MemberPool;
-  readonly limits: PoolLimits;
-  /** Admits statements to the member over this instance's connections. */
-  readonly slotGate: SlotGate;
-  /** Log position in the member's latest reply; part of the state dump. */
-  reportedPosition: TermPosition | undefined;
-  laggingUntil: Milliseconds;
-  /** Consecutive refusals of reads because the replica's log lagged. */
-  consecutiveLagRefusals: number;
-  readonly outcomes: FailureRatioTracker;
-  /** Load that other instances' statements and reports show. */
-  readonly load: MemberLoadTracker;
-  /** Time until which the member is avoided, since its host could not reach it. */
-  avoidUntil: Milliseconds;
-}
-
 /**
  * Holds a connection pool for each listed member, and records what the members' replies show: log
  * positions, lagging replicas and failed statements.
@@ -308,18 +289,6 @@
     if (this.view.settings?.groups.get(entry.group) === undefined) return;
     const limits = { ...this.hosts.computeBudget(entry), maxWaiting: MAX_WAITING_REQUESTS };
     const pool = new MemberPool(entry, this.connector, limits, this, this.clock);
-    const laggingUntil = toMilliseconds(0);
-    this.states.set(entry.id, {
-      entry,
-      pool,
-      limits,
-      slotGate: new SlotGate(entry.slots, this.clock),
-      reportedPosition: undefined,
-      laggingUntil,
-      consecutiveLagRefusals: 0,
-      outcomes: new FailureRatioTracker(),
-      load: new MemberLoadTracker(),
-      avoidUntil: toMilliseconds(0),
-    });
+    this.states.set(entry.id, createMemberState(entry, pool, limits, this.clock));
   }
 }
