--- a/packages/gateway/src/hosting/slot-gate.ts
+++ b/packages/gateway/src/hosting/slot-gate.ts
@@ -25,12 +25,21 @@
        * @param outcome - how the statement ended, for the limit of the member
        */
       readonly release: (hasReply?: boolean, outcome?: StatementOutcome) => void;
+      /**
+       * Leaves a wait at this instance out of the measured slot time, which tells of the member's speed.
+       *
+       * @param waitMs - time for which nothing was sent to the member, in milliseconds
+       */
+      readonly excludeWait: (waitMs: number) => void;
     }
   | ({
       /** `timeout`: the statement's own timeout passed before its turn. */
       readonly kind: 'timeout' | 'overloaded';
     } & RejectionDetails);
 
+/** A slot that its holder must release. */
+export type GrantedSlot = Extract<SlotResult, { kind: 'granted' }>;
+
 /** How a request to begin a transaction ended. */
 export type TransactionPermit =
   | {
@@ -139,6 +148,7 @@
   private createGrant(use: SlotUse): SlotResult {
     let isHeld = true;
     let isEnded = false;
+    let excludedMs = 0;
     const free = (): void => {
       if (!isHeld) return;
       isHeld = false;
@@ -151,11 +161,15 @@
     const release = (hasReply = true, outcome?: StatementOutcome): void => {
       if (isEnded) return;
       isEnded = true;
-      this.queue.recordEnd(use, this.clock.now(), hasReply, outcome);
+      const startedAt = toMilliseconds(use.startedAt + excludedMs);
+      this.queue.recordEnd({ ...use, startedAt }, this.clock.now(), hasReply, outcome);
       if (isHeld) free();
       else this.startWaiting();
     };
-    return { kind: 'granted', release };
+    const excludeWait = (waitMs: number): void => {
+      excludedMs += waitMs;
+    };
+    return { kind: 'granted', release, excludeWait };
   }
 
   /** Starts what may run in addition if the limit has risen. */
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -2,12 +2,10 @@
   type Clock,
   type ConfirmationTracker,
   type GroupId,
-  type TermPosition,
   type MemberEntry,
   type MemberId,
   type Milliseconds,
-  FailureRatioTracker,
-  MemberLoadTracker,
+  type MemberLoadTracker,
   type ReadMemberState,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -23,8 +21,9 @@
 import { isSameEndpoint } from './member-endpoint.js';
 import { MemberPaces } from './member-paces.js';
 import { MemberPool } from './member-pool.js';
+import { createMemberState, type MemberState } from './member-state.js';
 import { MemberWarmups } from './member-warmups.js';
-import type { PoolLimits, PoolListener } from './pool-listener.js';
+import type { PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
 /** Maximum number of requests that wait for a connection to one member. */
@@ -42,24 +41,6 @@
 /** Time for which other members are preferred after a host could not reach this one. */
 const UNREACHABLE_TTL_MS = 600;
 
-interface MemberState {
-  readonly entry: MemberEntry;
-  readonly pool: MemberPool;
-  readonly limits: PoolLimits;
-  /** Admits statements to the member over this instance's connections. */
-  readonly slotGate: SlotGate;
-  /** Log position in the member's latest reply; part of the state dump. */
-  reportedPosition: TermPosition | undefined;
-  laggingUntil: Milliseconds;
-  /** Consecutive refusals of reads because the replica's log lagged. */
-  consecutiveLagRefusals: number;
-  readonly outcomes: FailureRatioTracker;
-  /** Load that other instances' statements and reports show. */
-  readonly load: MemberLoadTracker;
-  /** Time until which the member is avoided, since its host could not reach it. */
-  avoidUntil: Milliseconds;
-}
-
 /**
  * Holds a connection pool for each listed member, and records what the members' replies show: log
  * positions, lagging replicas and failed statements.
@@ -318,18 +299,7 @@
     if (this.view.settings?.groups.get(entry.group) === undefined) return;
     const limits = { ...this.hosts.computeBudget(entry), maxWaiting: MAX_WAITING_REQUESTS };
     const pool = new MemberPool(entry, this.connector, limits, this, this.clock);
-    const laggingUntil = toMilliseconds(0);
-    this.states.set(entry.id, {
-      entry,
-      pool,
-      limits,
-      slotGate: new SlotGate(entry.slots, this.clock, this.paces.create(entry)),
-      reportedPosition: undefined,
-      laggingUntil,
-      consecutiveLagRefusals: 0,
-      outcomes: new FailureRatioTracker(),
-      load: new MemberLoadTracker(),
-      avoidUntil: toMilliseconds(0),
-    });
+    const slotGate = new SlotGate(entry.slots, this.clock, this.paces.create(entry));
+    this.states.set(entry.id, createMemberState(entry, pool, limits, slotGate));
   }
 }
