--- a/packages/core/src/serving/choose-read-member.ts
+++ b/packages/core/src/serving/choose-read-member.ts
@@ -47,8 +47,14 @@
   readonly needsPrimary?: boolean;
 }
 
-/** Time of a statement at members of which none has reported one, in milliseconds. */
-const DEFAULT_STATEMENT_MS = 9;
+/** Mean time of a read at a member that is not slow, in milliseconds. */
+const USUAL_STATEMENT_MS = 9;
+/**
+ * A member counts as slow if its statements take this many times as long as at the others of its group. The
+ * times of single statements vary by more than their mean, so that smaller differences of means say little;
+ * following them sends reads to other regions for no gain.
+ */
+const MIN_SLOW_RATIO = 2;
 const DEFAULT_SLOTS = 2;
 /**
  * Cost of one step of distance, in milliseconds. A round trip between regions, two steps, takes 24 ms;
@@ -121,23 +127,32 @@
   return best;
 }
 
-/** Computes the statement time to assume at members of which none is known: the median of the others. */
-function computeTypicalMs(members: readonly ReadMemberState[]): number {
+/** @returns the median of the known statement times, the lower one of two; undefined if none is known */
+function computeTypicalMs(members: readonly ReadMemberState[]): number | undefined {
   const known = members.flatMap(({ statementMs }) => statementMs ?? []);
   known.sort((left, right) => left - right);
-  return known[Math.floor((known.length - 1) / 2)] ?? DEFAULT_STATEMENT_MS;
+  return known[Math.floor((known.length - 1) / 2)];
+}
+
+/** @returns how many times as long statements take at a member as at the others; 1 unless it is slow */
+function computeSlowRatio(statementMs: number | undefined, typicalMs: number | undefined): number {
+  if (statementMs === undefined || typicalMs === undefined || typicalMs <= 0) return 1;
+  const ratio = statementMs / typicalMs;
+  return ratio < MIN_SLOW_RATIO ? 1 : ratio;
 }
 
 /** Estimates the cost of a read at a member in milliseconds: its queue, its speed and its distance. */
 function estimateCostMs(
   member: ReadMemberState,
-  typicalMs: number,
+  typicalMs: number | undefined,
   requirements: ReadRequirements,
   waitFor: TermPosition | undefined,
   now: Milliseconds,
 ): number {
-  const { slots = DEFAULT_SLOTS, statementMs = typicalMs } = member;
-  let cost = (member.pending / slots) * statementMs + Math.max(0, statementMs - typicalMs);
+  const { slots = DEFAULT_SLOTS } = member;
+  const slowRatio = computeSlowRatio(member.statementMs, typicalMs);
+  let cost = (member.pending / slots) * USUAL_STATEMENT_MS * slowRatio;
+  cost += USUAL_STATEMENT_MS * (slowRatio - 1);
   cost += member.distance * DISTANCE_COST_MS;
   cost += member.failureRatio * FAILURE_RATIO_COST_MS;
   if (member.isPrimary) cost += PRIMARY_COST_MS;
--- a/packages/core/test/units/statement-times.test.ts
+++ b/packages/core/test/units/statement-times.test.ts
@@ -77,7 +77,7 @@
     expect(replaySlowMember(false)).toBeGreaterThan(0.2);
   });
 
-  it('assumes the median of the others where no time is known', () => {
+  it('takes a member of which no time is known for a usual one', () => {
     const members = [
       createMember('slow', { statementMs: 100 }),
       createMember('unknown', {}),
@@ -86,6 +86,16 @@
     expect(chooseReadMember(members, requirements, at(0))?.member).toBe('unknown');
   });
 
+  // Guards against reads that leave their region because single statements took longer by chance.
+  it('stays with the near member while it takes less than twice as long', () => {
+    const members = [
+      createMember('near', { statementMs: 28, pending: 1 }),
+      createMember('far', { statementMs: 15, distance: 2 }),
+      createMember('other', { statementMs: 16, distance: 2 }),
+    ];
+    expect(chooseReadMember(members, requirements, at(0))?.member).toBe('near');
+  });
+
   // Guards against long queues at members with many slots that look as long as those with few.
   it('counts a queue by the slots that serve it', () => {
     const members = [
