--- a/packages/core/src/limits/admission-queue.ts
+++ b/packages/core/src/limits/admission-queue.ts
@@ -8,24 +8,20 @@
   type LoanTimings,
   OrganisationLimiter,
 } from './organisation-limiter.js';
+import { LenderTracker, type LenderRules } from './lender-tracker.js';
 import type { LoanId } from './token-bucket.js';
+import { UrgencyReserve } from './urgency-reserve.js';
 
 /** Identifies a waiting request. */
 export type AdmissionTicket = number;
 
 /** Limits and timeouts for requests that find no token. */
-export interface AdmissionRules {
+export interface AdmissionRules extends LenderRules {
   readonly loans: LoanTimings;
-  /** Maximum number of lenders that receive a loan request at the same time. */
-  readonly fanout: number;
   /** Maximum time that a request waits for a token. */
   readonly maxWaitMs: Milliseconds;
   /** Maximum number of waiting requests; those beyond it are refused without waiting. */
   readonly maxWaitingRequests: number;
-  /** Time after which an unanswered loan request is abandoned. */
-  readonly loanRequestTimeoutMs: Milliseconds;
-  /** Time for which no loan request is sent to a lender that had nothing to lend. */
-  readonly emptyLenderDelayMs: Milliseconds;
   /** Whether a request that cannot get a token before its deadline is refused at once. */
   readonly refusesUnservable?: boolean;
 }
@@ -36,6 +32,8 @@
   /** Matches the lender's response to this request. */
   readonly requestId: number;
   readonly tokens: number;
+  /** Priority of the requests that need the tokens; 0 is the most urgent. */
+  readonly priority: number;
 }
 
 /** A refused request. */
@@ -67,20 +65,10 @@
 
 interface WaitingRequest {
   readonly ticket: AdmissionTicket;
+  readonly priority: number;
   readonly deadline: Milliseconds;
 }
 
-interface PendingLoanRequest {
-  readonly lender: InstanceId;
-  readonly sentAt: Milliseconds;
-}
-
-/** What a lender last reported; 0 tokens after a timeout or a refusal. */
-interface LenderState {
-  readonly spare: number;
-  readonly updatedAt: Milliseconds;
-}
-
 /**
  * Admits, queues or refuses the requests of one organisation at one instance, and borrows and lends
  * tokens. Does no input or output: the caller passes messages and the current time.
@@ -88,23 +76,20 @@
 export class AdmissionQueue {
   private readonly limiter: OrganisationLimiter;
 
-  private waiting: WaitingRequest[] = [];
-
-  private readonly pendingLoanRequests = new Map<number, PendingLoanRequest>();
+  private readonly reserve = new UrgencyReserve();
 
-  private readonly lenderStates = new Map<InstanceId, LenderState>();
+  /** Priority with which tokens are borrowed in advance, for requests that are not known yet. */
+  private leastUrgentPriority = 0;
 
-  /** Other instances that hold shares; their order differs from instance to instance. */
-  private lenders: readonly InstanceId[] = [];
+  /** The most urgent first, and those of one priority in the order of their arrival. */
+  private waiting: WaitingRequest[] = [];
 
-  private nearHolders: ReadonlySet<InstanceId> = new Set();
+  private readonly lenders: LenderTracker;
 
   private currentHolders: ReadonlySet<InstanceId> | undefined;
 
   private nextTicket = 1;
 
-  private nextRequestId = 1;
-
   /**
    * @param self - this instance
    * @param organisation - organisation that the requests belong to
@@ -118,6 +103,7 @@
     unusedSince?: Milliseconds,
   ) {
     this.limiter = new OrganisationLimiter(rules.loans, unusedSince);
+    this.lenders = new LenderTracker(rules);
   }
 
   /**
@@ -131,24 +117,30 @@
     this.limiter.setShare(ratePerSecond, burst, now, initialTokens);
     if (holders === this.currentHolders) return;
     this.currentHolders = holders;
-    this.nearHolders = near ?? new Set();
     const others = [...holders].filter((id) => id !== this.self);
-    this.lenders = chooseHolders(`lender/${this.organisation}/${this.self}`, others, others.length);
+    const order = chooseHolders(`lender/${this.organisation}/${this.self}`, others, others.length);
+    this.lenders.setLenders(order, near ?? new Set());
   }
 
   /**
-   * Admits a request at once if a token is available and no other request waits; queues it
+   * Admits a request at once if a token is available and no request that is as urgent waits; queues it
    * otherwise.
    *
    * @param now - current time
+   * @param priority - 0 is the most urgent; requests of which nothing is known are alike
    * @returns undefined if the request may run at once, or the ticket under which it waits
    */
-  addRequest(now: Milliseconds): AdmissionTicket | undefined {
+  addRequest(now: Milliseconds, priority = 0): AdmissionTicket | undefined {
+    this.leastUrgentPriority = Math.max(this.leastUrgentPriority, priority);
     this.limiter.recordDemand(now);
-    if (this.waiting.length === 0 && this.limiter.admit(now)) return undefined;
+    this.reserve.recordDemand(priority, 1, now);
+    const behind = this.waiting.findIndex((other) => other.priority > priority);
+    const index = behind < 0 ? this.waiting.length : behind;
+    if (index === 0 && this.admitOne(priority, now)) return undefined;
     const ticket = this.nextTicket;
     this.nextTicket += 1;
-    this.waiting.push({ ticket, deadline: toMilliseconds(now + this.rules.maxWaitMs) });
+    const deadline = toMilliseconds(now + this.rules.maxWaitMs);
+    this.waiting.splice(index, 0, { ticket, priority, deadline });
     return ticket;
   }
 
@@ -159,7 +151,7 @@
    * @returns actions to carry out
    */
   step(now: Milliseconds): AdmissionActions {
-    this.expireLoanRequests(now);
+    this.lenders.expireRequests(now);
     const admitted = this.admitWaiting(now);
     const expired = this.refuseExpired(now);
     const loanRequests = this.createLoanRequests(now);
@@ -180,13 +172,8 @@
    * @param now - current time
    */
   handleOffer(requestId: number, offer: LoanOffer, now: Milliseconds): void {
-    const request = this.pendingLoanRequests.get(requestId);
-    // A response after the timeout is ignored; its lender counts the loan until it expires.
+    const request = this.lenders.handleOffer(requestId, offer, now);
     if (request === undefined) return;
-    this.pendingLoanRequests.delete(requestId);
-    // A lender that granted nothing gets no request for a while, even if it holds a fraction.
-    const spare = offer.loan === undefined ? 0 : offer.spare;
-    this.lenderStates.set(request.lender, { spare, updatedAt: now });
     if (offer.loan !== undefined) {
       this.limiter.addLoan(request.lender, offer.loan, request.sentAt, now);
     }
@@ -197,10 +184,12 @@
    *
    * @param tokens - tokens requested
    * @param now - current time
+   * @param priority - priority of the requests that need them; 0 is the most urgent
    * @returns the response
    */
-  handleLoanRequest(tokens: number, now: Milliseconds): LoanOffer {
-    return this.limiter.lend(tokens, now);
+  handleLoanRequest(tokens: number, now: Milliseconds, priority = 0): LoanOffer {
+    this.reserve.recordDemand(priority, tokens, now);
+    return this.limiter.lend(tokens, now, this.computeReserve(priority, now));
   }
 
   /**
@@ -225,7 +214,7 @@
 
   /** @returns whether {@link step} must be called again even if no further request arrives */
   get hasPendingWork(): boolean {
-    return this.waiting.length > 0 || this.pendingLoanRequests.size > 0;
+    return this.waiting.length > 0 || this.lenders.hasPendingRequests;
   }
 
   /** @returns number of waiting requests */
@@ -245,18 +234,27 @@
     const admitted: AdmissionTicket[] = [];
     for (;;) {
       const first = this.waiting[0];
-      if (first === undefined || !this.limiter.admit(now)) return admitted;
+      if (first === undefined || !this.admitOne(first.priority, now)) return admitted;
       this.waiting.shift();
       admitted.push(first.ticket);
     }
   }
 
-  /** Refuses the requests beyond the maximum queue length and those past their deadlines. */
+  private admitOne(priority: number, now: Milliseconds): boolean {
+    return this.limiter.admit(now, this.computeReserve(priority, now));
+  }
+
+  private computeReserve(priority: number, now: Milliseconds): number {
+    return this.reserve.computeReserve(priority, this.limiter.share, now);
+  }
+
+  /** Refuses the least urgent beyond the maximum queue length, and requests past their deadlines. */
   private refuseExpired(now: Milliseconds): AdmissionRefusal[] {
     const refused: WaitingRequest[] = this.waiting.splice(this.rules.maxWaitingRequests);
-    while (this.waiting[0] !== undefined && this.waiting[0].deadline <= now) {
-      refused.push(...this.waiting.splice(0, 1));
-    }
+    this.waiting = this.waiting.filter((request) => {
+      if (request.deadline <= now) refused.push(request);
+      return request.deadline > now;
+    });
     const retryAfterMs = refused.length === 0 ? 0 : this.limiter.computeRetryAfterMs(now);
     return refused.map(({ ticket }) => ({ ticket, retryAfterMs }));
   }
@@ -268,8 +266,9 @@
    */
   private refuseUnservable(now: Milliseconds): AdmissionRefusal[] {
     if (this.rules.refusesUnservable !== true) return [];
-    if (this.waiting.length === 0 || this.pendingLoanRequests.size > 0) return [];
-    if (this.chooseLenders(now).length > 0) return [];
+    const [first] = this.waiting;
+    if (first === undefined || this.lenders.hasRecentRequest(now)) return [];
+    if (this.lenders.chooseLenders(first.priority, now).length > 0) return [];
     const retryAfterMs = this.limiter.computeRetryAfterMs(now);
     const refused: AdmissionRefusal[] = [];
     this.waiting = this.waiting.filter(({ ticket, deadline }, index) => {
@@ -281,15 +280,17 @@
   }
 
   private createLoanRequests(now: Milliseconds): LoanRequest[] {
-    if (this.pendingLoanRequests.size > 0) return [];
-    const shortfall = this.limiter.computeShortfall(this.waiting.length, now);
+    if (this.lenders.hasRecentRequest(now)) return [];
+    const priority = this.waiting[0]?.priority ?? this.leastUrgentPriority;
+    // Less urgent requests get a loan request of their own, since the lender treats them differently.
+    const waiting = this.waiting.filter((request) => request.priority === priority).length;
+    const shortfall = this.limiter.computeShortfall(waiting, now);
     if (shortfall <= 0) return [];
-    const { lenders, tokens } = this.divideShortfall(shortfall, this.chooseLenders(now));
+    const candidates = this.lenders.chooseLenders(priority, now);
+    const { lenders, tokens } = this.divideShortfall(shortfall, waiting, candidates);
     return lenders.map((lender) => {
-      const requestId = this.nextRequestId;
-      this.nextRequestId += 1;
-      this.pendingLoanRequests.set(requestId, { lender, sentAt: now });
-      return { lender, requestId, tokens };
+      const requestId = this.lenders.recordRequest(lender, priority, now);
+      return { lender, requestId, tokens, priority };
     });
   }
 
@@ -299,6 +300,7 @@
    */
   private divideShortfall(
     shortfall: number,
+    waiting: number,
     candidates: readonly InstanceId[],
   ): { lenders: readonly InstanceId[]; tokens: number } {
     const unit = this.rules.loans.loanUnitTokens ?? 0;
@@ -310,37 +312,8 @@
     }
     // Rounds down the expected demand: at an instance that gets few of an organisation's requests, a
     // token borrowed in advance would expire unused.
-    const units = Math.max(Math.ceil(this.waiting.length / unit), Math.floor(shortfall / unit));
+    const units = Math.max(Math.ceil(waiting / unit), Math.floor(shortfall / unit));
     const lenders = candidates.slice(0, units);
     return { lenders, tokens: Math.ceil(units / Math.max(1, lenders.length)) * unit };
   }
-
-  /**
-   * Chooses near lenders first, then those that last reported the most tokens to lend; leaves out
-   * lenders that recently had none.
-   */
-  private chooseLenders(now: Milliseconds): InstanceId[] {
-    const { emptyLenderDelayMs, fanout } = this.rules;
-    const candidates = this.lenders.filter((id) => {
-      const state = this.lenderStates.get(id);
-      return state === undefined || state.spare > 0 || now - state.updatedAt >= emptyLenderDelayMs;
-    });
-    candidates.sort((left, right) => {
-      const byNearness = Number(this.nearHolders.has(right)) - Number(this.nearHolders.has(left));
-      return byNearness || this.getLastSpare(right) - this.getLastSpare(left);
-    });
-    return candidates.slice(0, fanout);
-  }
-
-  private getLastSpare(lender: InstanceId): number {
-    return this.lenderStates.get(lender)?.spare ?? Number.MAX_VALUE;
-  }
-
-  private expireLoanRequests(now: Milliseconds): void {
-    for (const [requestId, { lender, sentAt }] of this.pendingLoanRequests) {
-      if (now - sentAt < this.rules.loanRequestTimeoutMs) continue;
-      this.pendingLoanRequests.delete(requestId);
-      this.lenderStates.set(lender, { spare: 0, updatedAt: now });
-    }
-  }
 }
--- a/packages/daemon/src/limits/limits-task.ts
+++ b/packages/daemon/src/limits/limits-task.ts
@@ -127,14 +127,15 @@
    * Waits until a request may run.
    *
    * @param organisation - organisation that the request belongs to
+   * @param priority - 0 is the most urgent; all requests are alike if it is left out
    * @throws ProxyError if no token becomes available in time
    */
-  async admit(organisation: OrganisationId): Promise<void> {
+  async admit(organisation: OrganisationId, priority?: number): Promise<void> {
     const rate = this.settings?.organisations.get(organisation)?.requestsPerSecond;
     // Fractions of an unlimited rate are not finite numbers (0 × Infinity is NaN).
     if (rate === Infinity) return;
     const entry = this.getOrCreateEntry(organisation);
-    const ticket = entry.queue.addRequest(this.clock.now());
+    const ticket = entry.queue.addRequest(this.clock.now(), priority);
     if (ticket === undefined) {
       this.scheduleStep(organisation);
       return;
@@ -219,8 +220,8 @@
     entry: OrganisationEntry,
     request: LoanRequest,
   ): Promise<void> {
-    const { lender, requestId, tokens } = request;
-    const body = { kind: 'loan.ask' as const, organisation, tokens };
+    const { lender, requestId, tokens, priority } = request;
+    const body = { kind: 'loan.ask' as const, organisation, tokens, priority };
     const response = await this.hub.request(lender, body, this.rules.loanRequestTimeoutMs);
     if (response?.kind !== 'loan.offer') return;
     entry.queue.handleOffer(requestId, parseOffer(response), this.clock.now());
@@ -229,7 +230,8 @@
 
   private handleLoanRequest(body: PeerBodyOf<'loan.ask'>): PeerBodyOf<'loan.offer'> {
     const { queue } = this.getOrCreateEntry(toBrand<OrganisationId>(body.organisation));
-    return { kind: 'loan.offer', ...queue.handleLoanRequest(body.tokens, this.clock.now()) };
+    const offer = queue.handleLoanRequest(body.tokens, this.clock.now(), body.priority);
+    return { kind: 'loan.offer', ...offer };
   }
 
   private handleSettlement(body: PeerBodyOf<'loan.settle'>): undefined {
--- a/packages/daemon/src/peers/hosting-messages.ts
+++ b/packages/daemon/src/peers/hosting-messages.ts
@@ -33,6 +33,8 @@
   /** The request is refused if the expected wait for a connection is longer. */
   patienceMs: z.number(),
   priority: z.number(),
+  /** Whether an instance that was asked before could not reach the member; absent if it could. */
+  wasUnreachable: z.boolean().optional(),
 };
 
 /** Fields of a statement for a member. */
@@ -119,10 +121,16 @@
     wasSent: z.boolean().optional(),
     /** Statements that wait for or run at the member. */
     pending: z.number().optional(),
+    /** Mean time of statements of the request's priority at the member, in milliseconds. */
+    statementMs: z.number().optional(),
   }),
   /** Announces that the sender is stopping and hosts no further statements. */
   z.object({ kind: z.literal('host.leaving') }),
   /** Requests a check whether the receiving instance can reach a member. */
   z.object({ kind: z.literal('member.probe'), member: z.string() }),
   z.object({ kind: z.literal('member.probed'), isAlive: z.boolean() }),
+  /** Requests the log position of a primary that the receiving instance hosts. */
+  z.object({ kind: z.literal('primary.sample'), member: z.string() }),
+  /** Response to `primary.sample`; the primary held the position `ageMs` before the response. */
+  z.object({ kind: z.literal('primary.sampled'), mark: logMark, ageMs: z.number() }),
 ] as const;
--- a/packages/gateway/src/failover/member-fencing.ts
+++ b/packages/gateway/src/failover/member-fencing.ts
@@ -11,8 +11,10 @@
 } from '@heatherledge/core';
 import { delay } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { MemberWarmups } from '../members/member-warmups.js';
 import type { EventLog } from '../runtime/event-log.js';
 import { MemberControl } from './member-control.js';
+import { computeRegionDistance } from './misplacement-check.js';
 import { type DepartedHolder, listDepartedHolders } from './recorded-holders.js';
 
 /** The attempt fails if no member can be promoted safely within this time. */
@@ -22,6 +24,10 @@
 
 /** Services needed to fence the members of a group. */
 export interface FencingServices {
+  /** Region of each failure domain; undefined if none is known. */
+  readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
+  /** Knows the members that have just started; without it, none counts as cold. */
+  readonly memberRegistry?: { readonly warmups: Pick<MemberWarmups, 'isCold'> } | undefined;
   readonly clock: Clock;
   readonly view: FleetView;
   readonly control: MemberControl;
@@ -34,6 +40,8 @@
   readonly endpoint: MemberEndpoint;
   readonly isDraining: boolean;
   readonly isListed: boolean;
+  readonly isEvacuated: boolean;
+  readonly isCold: boolean;
 }
 
 /** Stops the commits of a group's old primary, and chooses the member to promote. */
@@ -47,14 +55,18 @@
    * Fences the members and chooses the one to promote.
    *
    * @param previous - the primary before the change
+   * @param mayPromoteEvacuated - whether a member of an evacuated domain may be promoted if no other can
    * @returns the member to promote, or undefined if no choice is safe in time
    */
-  async chooseSuccessor(previous: MemberId | undefined): Promise<MemberEndpoint | undefined> {
+  async chooseSuccessor(
+    previous: MemberId | undefined,
+    mayPromoteEvacuated: boolean,
+  ): Promise<MemberEndpoint | undefined> {
     const { clock, log } = this.services;
     const deadline = clock.now() + FENCE_TIMEOUT_MS;
     let reason = '';
     while (clock.now() < deadline) {
-      const { plan, endpoints } = await this.fence(previous);
+      const { plan, endpoints } = await this.fence(previous, mayPromoteEvacuated);
       if (plan.kind === 'promote') return endpoints.get(plan.member);
       reason = plan.reason;
       await delay(RETRY_INTERVAL_MS);
@@ -70,23 +82,28 @@
    */
   private async fence(
     previous: MemberId | undefined,
+    mayPromoteEvacuated: boolean,
   ): Promise<{ plan: PromotionPlan; endpoints: ReadonlyMap<MemberId, MemberEndpoint> }> {
-    const { view, holderPresence } = this.services;
+    const { view, holderPresence, memberRegistry } = this.services;
     const departed = this.listDeparted();
     const syncReplicas = view.settings?.groups.get(this.group)?.syncReplicas ?? 0;
-    const listed: FenceTarget[] = view
-      .listMembers(this.group)
-      .map((endpoint) => ({ endpoint, isDraining: endpoint.isDraining, isListed: true }));
+    const listed: FenceTarget[] = view.listMembers(this.group).map((endpoint) => ({
+      endpoint,
+      isDraining: endpoint.isDraining,
+      isListed: true,
+      isEvacuated: view.evacuatedDomains.has(endpoint.failureDomain),
+      isCold: memberRegistry?.warmups.isCold(endpoint) === true,
+    }));
     const isReplicaUp = ({ holder, id }: DepartedHolder): boolean =>
       id !== previous && holderPresence.wasUp(holder);
     let targets = [...listed, ...createUnlistedTargets(departed.filter(isReplicaUp))];
     let fenced = await this.fenceTargets(targets, departed, previous);
-    let plan = planPromotion(fenced.members, syncReplicas);
+    let plan = planPromotion(this.setDistances(fenced.members), syncReplicas, mayPromoteEvacuated);
     const unlisted = createUnlistedTargets(departed);
     if (plan.kind === 'wait' && listed.length + unlisted.length > targets.length) {
       targets = [...listed, ...unlisted];
       fenced = await this.fenceTargets(targets, departed, previous);
-      plan = planPromotion(fenced.members, syncReplicas);
+      plan = planPromotion(this.setDistances(fenced.members), syncReplicas, mayPromoteEvacuated);
     } else if (plan.kind === 'promote') {
       this.demoteUnlisted(departed, previous, fenced.term);
     }
@@ -158,6 +175,14 @@
     return status !== undefined && status.heldTerm >= term ? status.received : undefined;
   }
 
+  /** Sets the members' distances, by which those in regions that more routes allow are preferred. */
+  private setDistances(members: readonly FencedMember[]): FencedMember[] {
+    return members.map((member) => ({
+      ...member,
+      distance: computeRegionDistance(this.services, this.group, member.id),
+    }));
+  }
+
   private listDeparted(): DepartedHolder[] {
     const { view } = this.services;
     const record = view.primaries.get(this.group)?.value;
@@ -167,16 +192,19 @@
 
 function createUnlistedTargets(departed: readonly DepartedHolder[]): FenceTarget[] {
   return departed.flatMap(({ endpoint, isReplaced }) =>
-    endpoint === undefined || isReplaced ? [] : [{ endpoint, isDraining: false, isListed: false }],
+    endpoint === undefined || isReplaced
+      ? []
+      : [{ endpoint, isDraining: false, isListed: false, isEvacuated: false, isCold: false }],
   );
 }
 
 function createFenced(
-  { endpoint, isDraining, isListed }: FenceTarget,
+  { endpoint, isDraining, isListed, isEvacuated, isCold }: FenceTarget,
   wasPrimary: boolean,
   received: FencedMember['received'],
 ): FencedMember {
-  return { id: endpoint.id, wasPrimary, isDraining, isListed, distance: 0, received };
+  const { id } = endpoint;
+  return { id, wasPrimary, isDraining, isListed, isEvacuated, isCold, distance: 0, received };
 }
 
 /** Creates the state of an unlisted commit holder that was not reached. */
--- a/packages/gateway/src/failover/primary-change.ts
+++ b/packages/gateway/src/failover/primary-change.ts
@@ -32,6 +32,8 @@
   readonly promotions: PromotionPort;
   readonly hub: PeerHub;
   readonly memberRegistry: MemberRegistry;
+  /** Region of each failure domain; undefined if none is known. */
+  readonly regionByDomain?: ReadonlyMap<string, string> | undefined;
   /** What is known of commit holders that are no longer listed. */
   readonly holderPresence: HolderPresenceTracker;
   /**
@@ -42,7 +44,17 @@
 }
 
 /** Why a primary is replaced; `resumed` continues a change that an earlier attempt left open. */
-export type PrimaryChangeReason = 'draining' | 'unreachable' | 'missing' | 'resumed';
+export type PrimaryChangeReason =
+  | 'draining'
+  | 'evacuated'
+  | 'unreachable'
+  | 'missing'
+  | 'resumed'
+  /** Another member is in a region that more routes of the group allow. */
+  | 'misplaced';
+
+/** A primary that serves is not replaced by a member to which nothing may be sent. */
+const PLANNED_REASONS: ReadonlySet<PrimaryChangeReason> = new Set(['evacuated', 'misplaced']);
 
 /** One attempt to change the primary of one group. */
 export class PrimaryChange {
@@ -62,7 +74,7 @@
     const { clock, log, view } = this.services;
     const startedAt = clock.now();
     const previous = this.findPreviousPrimary();
-    const record = await this.recordChangeStart(previous);
+    const record = await this.recordChangeStart(previous, reason);
     if (record === undefined) return false;
     log.info('primary.change.started', {
       group: this.group,
@@ -72,7 +84,10 @@
     });
     const [, chosen] = await Promise.all([
       this.suspendPrevious(record.value.epoch),
-      new MemberFencing(this.group, this.services).chooseSuccessor(previous),
+      new MemberFencing(this.group, this.services).chooseSuccessor(
+        previous,
+        !PLANNED_REASONS.has(reason),
+      ),
     ]);
     const promoted = chosen !== undefined && (await this.promote(chosen));
     const isDone = promoted && (await this.recordNewPrimary(chosen.id));
@@ -101,12 +116,14 @@
   /** Records that the group's primary is changing, if this instance is still the coordinator. */
   private async recordChangeStart(
     previous: MemberId | undefined,
+    reason: PrimaryChangeReason,
   ): Promise<StoredRecord<PrimaryRecord> | undefined> {
     const { view, memberRegistry } = this.services;
     const known = view.primaries.get(this.group);
     const { holders = [], endpoints } = known?.value ?? {};
+    const isRegionMove = reason === 'misplaced' || findResumedMove(reason, known?.value);
     const announcedEpoch = memberRegistry.primaryTracker.findSuspendedEpoch(this.group);
-    const content = { previous, holders, endpoints };
+    const content = { previous, holders, endpoints, isRegionMove };
     return writePrimaryRecord(this.services, this.group, known, content, announcedEpoch);
   }
 
@@ -122,7 +139,7 @@
       .map(({ holder }) => holder);
     const holders = [...entries.map(formatIncarnation), ...departed];
     const fields = createHolderFields(holders, entries, known?.value);
-    const content = { member, ...fields };
+    const content = { member, ...fields, isRegionMove: known?.value.isRegionMove };
     const written = await writePrimaryRecord(this.services, this.group, known, content);
     return written !== undefined;
   }
@@ -161,3 +178,12 @@
     return false;
   }
 }
+
+/** Finds whether a change that is continued was begun to move the primary to a better region. */
+function findResumedMove(
+  reason: PrimaryChangeReason,
+  known: PrimaryRecord | undefined,
+): true | undefined {
+  const isOpen = known !== undefined && known.member === undefined;
+  return reason === 'resumed' && isOpen && known.isRegionMove === true ? true : undefined;
+}
--- a/packages/gateway/src/failover/primary-monitor.ts
+++ b/packages/gateway/src/failover/primary-monitor.ts
@@ -16,6 +16,8 @@
 import type { MemberStatus } from '../ports/member-protocol.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import { CommitHolderTracker } from './commit-holder-tracker.js';
+import { EvacuatedPrimaries } from './evacuated-primaries.js';
+import { MisplacementCheck } from './misplacement-check.js';
 import {
   type PrimaryChangeReason,
   type PrimaryChangeServices,
@@ -47,7 +49,7 @@
 
 /**
  * Monitors the primaries of all groups. Every instance reports suspected primaries; the coordinator
- * replaces primaries that are draining, missing or unreachable.
+ * replaces primaries that are draining, in evacuated domains, missing or unreachable.
  */
 export class PrimaryMonitor {
   private readonly suspicions = new SuspicionTracker();
@@ -62,6 +64,9 @@
 
   private readonly commitHolderTracker: CommitHolderTracker;
 
+  private readonly evacuatedPrimaries: EvacuatedPrimaries;
+  private readonly misplacement: MisplacementCheck;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -70,6 +75,8 @@
     private readonly metrics: GatewayMetrics,
   ) {
     this.commitHolderTracker = new CommitHolderTracker(services);
+    this.evacuatedPrimaries = new EvacuatedPrimaries(services);
+    this.misplacement = new MisplacementCheck(services);
     hub.handle('primary.suspend', ({ group, epoch }) => {
       services.memberRegistry.primaryTracker.suspend(toBrand<GroupId>(group), epoch);
       return { kind: 'done' };
@@ -101,9 +108,12 @@
     if (!lease.isHeld) {
       this.missingSince.clear();
       this.drainingSince.clear();
+      this.evacuatedPrimaries.clear();
+      this.misplacement.clear();
     }
     for (const group of view.settings?.groups.keys() ?? []) {
       this.reportUnresponsivePrimary(group);
+      this.misplacement.observeRecord(group);
       if (lease.isHeld && !this.groupsInProgress.has(group)) void this.checkGroup(group);
     }
   }
@@ -172,7 +182,10 @@
       .listMembers(group)
       .some(({ id, isDraining }) => id !== member && !isDraining);
     if (entry.isDraining && mayReplace && (await this.mayStepDown(group, entry))) return 'draining';
-    if (!this.suspicions.isSuspected(group, member, now)) return undefined;
+    if (await this.evacuatedPrimaries.mayReplace(entry)) return 'evacuated';
+    if (!this.suspicions.isSuspected(group, member, now)) {
+      return (await this.misplacement.needsSwitchover(group, entry)) ? 'misplaced' : undefined;
+    }
     const observers = chooseObservers(member, view.listDomains().values());
     const [status] = await Promise.all([
       control.sendCommand(entry, { kind: 'status' }),
@@ -238,16 +251,23 @@
     return status?.role !== 'primary' || this.hasCaughtUpReplica(group, member, status);
   }
 
-  /** Checks whether a listed member that is not draining has received all that the primary holds. */
+  /**
+   * Checks whether a listed member that is not draining has received all that the primary holds. One in an
+   * evacuated domain counts only if all are: it would be promoted, and then get no writes.
+   */
   private async hasCaughtUpReplica(
     group: GroupId,
     primary: MemberId,
     { received }: MemberStatus,
   ): Promise<boolean> {
     const { view, control } = this.services;
-    const others = view
+    const available = view
       .listMembers(group)
       .filter(({ id, isDraining }) => id !== primary && !isDraining);
+    const outside = available.filter(
+      ({ failureDomain }) => !view.evacuatedDomains.has(failureDomain),
+    );
+    const others = outside.length > 0 ? outside : available;
     const statuses = await Promise.all(
       others.map(async (other) => control.sendCommand(other, { kind: 'status' })),
     );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,12 +3,13 @@
   type InstanceRecord as PeerRecord,
   toMilliseconds,
 } from '@heatherledge/core';
-import { createRandom, LimitsTask, PeerHub } from '@heatherledge/daemon';
+import { createRandom, LimitsTask, PeerHub, type PeerHubLimits } from '@heatherledge/daemon';
 import { resolveConfirmationLimits } from './fleet/confirmation-limits.js';
 import { FailoverTasks } from './failover/failover-tasks.js';
 import { FleetViewUpdater } from './fleet/fleet-view-updater.js';
 import { FleetView } from './fleet/fleet-view.js';
 import { InstanceRegistration } from './fleet/instance-registration.js';
+import { logUnknownRegions } from './fleet/unknown-regions.js';
 import { RelayServer } from './fleet/relay-server.js';
 import { RelayedSource } from './fleet/relayed-source.js';
 import { RateShareAllocator } from './fleet/rate-share-allocator.js';
@@ -54,12 +55,12 @@
   readonly promotions: PromotionPort;
   readonly members: MemberConnector;
   readonly callers: CallerListener;
+  /** Limits of what peers make the instance hold; undefined for none. */
+  readonly peerLimits?: PeerHubLimits | undefined;
 }
 
 /** Runs one gateway instance: creates its tasks, and starts and stops them in order. */
 export class Gateway {
-  readonly metrics = new GatewayMetrics();
-
   private readonly random = createRandom();
 
   private readonly view: FleetView;
@@ -91,13 +92,16 @@
     private readonly ports: GatewayPorts,
     private readonly clock: SuspensionAwareClock,
     private readonly log: EventLog,
+    readonly metrics: GatewayMetrics = new GatewayMetrics(),
   ) {
     const { instance, maxKeyRevocationDelayMs, host, peerPort, failureDomain } = settings;
     const confirmationLimits = resolveConfirmationLimits(maxKeyRevocationDelayMs);
     const confirmation = new ConfirmationTracker(confirmationLimits);
     const { store, directory, promotions, members } = ports;
-    this.view = new FleetView(directory, confirmation, log);
-    const hosts = new HostDirectory(instance, this.view, clock);
+    const { maxEvacuationDelayMs } = settings;
+    this.view = new FleetView(directory, confirmation, log, clock, maxEvacuationDelayMs);
+    this.view.onChange(() => this.metrics.evacuatedDomains.set(this.view.evacuatedDomains.size));
+    const hosts = new HostDirectory(instance, this.view, clock, settings.regionByDomain);
     this.memberRegistry = new MemberRegistry(
       settings,
       this.view,
@@ -112,6 +116,7 @@
       identity,
       (id) => this.findPeer(id),
       (problem) => log.warn('peer.problem', problem),
+      ports.peerLimits,
     );
     this.limits = new LimitsTask(
       instance,
@@ -153,6 +158,7 @@
       promotions,
       connector: members,
       memberRegistry: this.memberRegistry,
+      regionByDomain: settings.regionByDomain,
       confirmationTtlMs: confirmationLimits.maxPrimaryAgeMs,
       metrics: this.metrics,
       clock,
@@ -177,6 +183,7 @@
       clock,
       memberRegistry: this.memberRegistry,
       memberAccess: this.hosting.access,
+      primarySampler: this.failover.primarySampler,
       grantChecker,
       metrics: this.metrics,
       log,
@@ -186,7 +193,9 @@
     });
     this.view.onChange(({ settings: settingsChanged, instances: instancesChanged }) => {
       if (settingsChanged || instancesChanged) this.updateRateShares();
+      if (settingsChanged) this.sessionRegistry.checkRegions();
     });
+    logUnknownRegions(this.view, settings.regionByDomain, log);
   }
 
   /** Starts all tasks; callers are accepted at once, and served as soon as settings are known. */
@@ -259,6 +268,7 @@
       confirmationAgeMs: this.view.confirmation.resolveAge(this.clock.now()),
       isCoordinator: this.failover.isCoordinator,
       storeEra: this.view.era,
+      evacuatedDomains: Object.fromEntries(this.view.evacuatedDomains),
       isStoreComplete: this.view.isComplete,
       coordinator: this.view.coordinator?.value.instance,
       instances: [...this.view.instances.keys()],
--- a/packages/gateway/src/hosting/local-member-access.ts
+++ b/packages/gateway/src/hosting/local-member-access.ts
@@ -1,10 +1,9 @@
-import type { Clock, Milliseconds, OrganisationId } from '@heatherledge/core';
-import type { ExchangeResult, MemberConnection } from '../members/member-connection.js';
-import type { MemberStatement } from '../ports/member-protocol.js';
+import type { Clock, Milliseconds, StatementOutcome } from '@heatherledge/core';
+import type { MemberConnection } from '../members/member-connection.js';
 import type { MemberPool } from '../members/member-pool.js';
 import type { MemberRegistry } from '../members/member-registry.js';
 import type { GrantChecker } from '../sessions/grants.js';
-import type { SlotGate, SlotResult } from './slot-gate.js';
+import { LocalMemberTransaction, waitForToken } from './local-member-transaction.js';
 import {
   type AccessRefusal,
   type BeginRequest,
@@ -12,13 +11,14 @@
   type ConnectionRequest,
   createRefusal,
   type MemberAccess,
-  type MemberTransaction,
   type StatementRequest,
   type StatementResult,
 } from './member-access.js';
-
-/** Timeout of a rollback; the connection is dropped after that, which rolls back as well. */
-const ROLLBACK_TIMEOUT_MS = 1000;
+import { MemberAdmission, type WeightLookup } from './member-admission.js';
+import type { GrantedSlot, SlotGate } from './slot-gate.js';
+import { classifyOutcome } from './statement-outcome.js';
+import { findConnectionRejection, SILENT_OBSERVER, type SlotObserver } from './slot-rejections.js';
+import type { WarmupGate } from './warmup-gate.js';
 
 /**
  * Maximum wait for a connection while a slot is held. A new connection takes 12 ms; a longer wait
@@ -26,12 +26,6 @@
  */
 const MAX_CONNECTION_WAIT_IN_SLOT_MS = 100;
 
-/**
- * Finds the part of an organisation relative to others, by which they share an overloaded member;
- * undefined stands for callers without a valid key.
- */
-export type WeightLookup = (organisation: OrganisationId | undefined) => number;
-
 /** How certain this instance must be of the primary before a request is sent to it. */
 type PrimaryCheck =
   /** The member must be the known primary. */
@@ -39,124 +33,220 @@
   /** The known primary must also have been confirmed recently, so that reads miss no commit. */
   | 'confirmed';
 
+type AcquiredConnection = {
+  readonly kind: 'acquired';
+  readonly pool: MemberPool;
+  readonly connection: MemberConnection;
+};
+
+/** Optional parts of the access to members. */
+export interface LocalAccessOptions {
+  /** Limits the statements to cold members; none is limited without it. */
+  readonly warmupGate?: WarmupGate | undefined;
+  /** Is told of each decision on a slot. */
+  readonly observer?: SlotObserver | undefined;
+}
+
 /**
  * Runs statements over this instance's own connections to members. The key and the primary are
  * checked again right before a request is sent, since both may change while it waits.
  */
 export class LocalMemberAccess implements MemberAccess {
+  private readonly openTransactions = new Set<LocalMemberTransaction>();
+
+  private readonly admission: MemberAdmission;
+
+  private readonly warmupGate: WarmupGate | undefined;
+
   constructor(
     private readonly memberRegistry: MemberRegistry,
     private readonly grantChecker: GrantChecker,
     private readonly clock: Clock,
-    private readonly random: () => number,
+    random: () => number,
     private readonly findWeight: WeightLookup,
-  ) {}
+    { warmupGate, observer = SILENT_OBSERVER }: LocalAccessOptions = {},
+  ) {
+    this.warmupGate = warmupGate;
+    this.admission = new MemberAdmission(clock, random, findWeight, observer);
+  }
 
   async run(request: StatementRequest): Promise<StatementResult> {
     const startedAt = this.clock.now();
     const gate = this.memberRegistry.findSlotGate(request.member);
     if (gate === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
-    const { credentials, priority, maxEstimatedWaitMs, timeoutMs: waitMs } = request;
-    const { organisation } = credentials;
-    const weight = this.findWeight(organisation);
-    const admitted = await gate.acquire({
-      organisation,
-      weight,
-      priority,
-      maxEstimatedWaitMs,
-      waitMs,
-    });
-    if (admitted.kind !== 'granted') return this.createSlotRefusal(admitted);
+    this.recordUnreachable(request);
+    const admitted =
+      this.warmupGate?.findRefusal(request) ?? (await this.admission.acquireSlot(gate, request));
+    if (admitted.kind === 'refused') return admitted;
+    let result: StatementResult | undefined;
     try {
-      return await this.runInSlot(request, startedAt);
+      result = await this.runInSlot(request, startedAt, admitted);
+      return result;
     } finally {
-      admitted.release();
+      admitted.release(result?.kind === 'answered', result && classifyOutcome(result));
     }
   }
 
   async begin(request: BeginRequest): Promise<BeginResult> {
     const startedAt = this.clock.now();
-    const acquired = await this.acquire(request, 'confirmed');
-    if (acquired.kind === 'refused') return acquired;
-    const { pool, connection } = acquired;
-    const result = await connection.exchangeInSession(
-      { values: request.values },
-      { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
-      request.timeoutMs - (this.clock.now() - startedAt),
-    );
-    if (result.kind === 'answered' && result.reply.error === undefined) {
-      const gate = this.memberRegistry.findSlotGate(request.member);
-      const weight = this.findWeight(request.credentials.organisation);
-      const transaction = new LocalMemberTransaction(pool, connection, gate, request, weight);
-      return { kind: 'open', transaction };
+    const { member, credentials } = request;
+    const gate = this.memberRegistry.findSlotGate(member);
+    const maxConnections = this.memberRegistry.findPool(member)?.maxConnections;
+    if (gate === undefined || maxConnections === undefined) {
+      return createRefusal('closed', 'busy', 'the member is not listed');
+    }
+    this.recordUnreachable(request);
+    const coldRefusal = this.warmupGate?.findRefusal(request);
+    if (coldRefusal !== undefined) return coldRefusal;
+    const permit = gate.acquireTransaction(credentials.organisation, maxConnections);
+    if (permit.kind === 'refused') {
+      return this.admission.refuse(request, { ...permit, kind: 'overloaded' });
+    }
+    let isOpen = false;
+    try {
+      const result = await this.beginInSlot(request, startedAt, gate, permit.end);
+      isOpen = result.kind === 'open';
+      return result;
+    } finally {
+      if (!isOpen) permit.end();
+    }
+  }
+
+  /**
+   * Rolls back the transactions at members of evacuated domains whose time is over, except those with a
+   * statement or a commit under way.
+   *
+   * @returns number of transactions rolled back
+   */
+  endEvacuatedTransactions(): number {
+    const expired = [...this.openTransactions].filter((transaction) => transaction.isExpired);
+    for (const transaction of expired) transaction.end();
+    return expired.length;
+  }
+
+  private async beginInSlot(
+    request: BeginRequest,
+    startedAt: Milliseconds,
+    gate: SlotGate,
+    onReleased: () => void,
+  ): Promise<BeginResult> {
+    const admitted = await this.admission.acquireSlot(gate, request);
+    if (admitted.kind === 'refused') return admitted;
+    let outcome: StatementOutcome = 'unsent';
+    try {
+      const acquired = await this.acquire(request, 'confirmed', startedAt, admitted);
+      if (acquired.kind === 'refused') return acquired;
+      const { pool, connection } = acquired;
+      const result = await connection.exchangeInSession(
+        { values: request.values },
+        { kind: 'begin', readOnly: request.readOnly, waitFor: request.waitFor },
+        request.timeoutMs - (this.clock.now() - startedAt),
+      );
+      outcome = classifyOutcome(result);
+      if (result.kind === 'answered' && result.reply.error === undefined) {
+        const transaction = this.createTransaction(request, acquired, gate, onReleased);
+        return { kind: 'open', transaction };
+      }
+      pool.release(connection);
+      return result;
+    } finally {
+      admitted.release(outcome !== 'unsent' && outcome !== 'lost', outcome);
     }
-    pool.release(connection);
-    return result;
   }
 
-  private createSlotRefusal(result: Exclude<SlotResult, { kind: 'granted' }>): AccessRefusal {
-    if (result.kind === 'timeout') return createRefusal('timeout');
-    // The random part spreads the callers that were refused together.
-    const retryAfterMs = Math.round(result.retryAfterMs * (1 + this.random()));
-    const text = `the queue for the member is too long; retry after ${retryAfterMs} ms`;
-    return createRefusal('overloaded', 'busy', text);
+  private createTransaction(
+    request: BeginRequest,
+    { pool, connection }: AcquiredConnection,
+    gate: SlotGate,
+    onReleased: () => void,
+  ): LocalMemberTransaction {
+    const transaction: LocalMemberTransaction = new LocalMemberTransaction({
+      clock: this.clock,
+      pool,
+      connection,
+      gate,
+      request,
+      weight: this.findWeight(request.credentials.organisation),
+      warmupGate: this.warmupGate,
+      evacuationGuard: this.memberRegistry.evacuationGuard,
+      onEnd: () => this.openTransactions.delete(transaction),
+      onReleased,
+    });
+    this.openTransactions.add(transaction);
+    return transaction;
   }
 
   private async runInSlot(
     request: StatementRequest,
     startedAt: Milliseconds,
+    slot: GrantedSlot,
   ): Promise<StatementResult> {
     const check = request.access === 'read' ? 'confirmed' : 'known';
-    const remainingMs = request.timeoutMs - (this.clock.now() - startedAt);
-    const timeoutMs = Math.min(MAX_CONNECTION_WAIT_IN_SLOT_MS, remainingMs);
-    const acquired = await this.acquire({ ...request, timeoutMs }, check);
+    const acquired = await this.acquire(request, check, startedAt, slot);
     if (acquired.kind === 'refused') return acquired;
     const { pool, connection } = acquired;
+    const sentAt = this.clock.now();
     const result = await connection.runInSession(
       { values: request.values },
       request.statement,
       request.waitFor,
-      request.timeoutMs - (this.clock.now() - startedAt),
+      request.timeoutMs - (sentAt - startedAt),
     );
     pool.release(connection);
+    // A refusal or a lost reply tells nothing about how long statements take.
+    if (result.kind === 'answered' && result.reply.error === undefined) {
+      const now = this.clock.now();
+      const times = this.memberRegistry.findLoad(request.member)?.times;
+      times?.record(request.priority, now - sentAt, now);
+    }
     return result;
   }
 
+  /** Records what the request's previous host reported, before a connection to the member is opened. */
+  private recordUnreachable({ member, wasUnreachable }: ConnectionRequest): void {
+    if (wasUnreachable === true) this.memberRegistry.recordUnreachableElsewhere(member);
+  }
+
+  /** Acquires a connection for a request that holds a slot, and checks the request once more. */
   private async acquire(
     request: ConnectionRequest,
     check: PrimaryCheck,
-  ): Promise<
-    | {
-        readonly kind: 'acquired';
-        readonly pool: MemberPool;
-        readonly connection: MemberConnection;
-      }
-    | AccessRefusal
-  > {
+    startedAt: Milliseconds,
+    slot: GrantedSlot,
+  ): Promise<AcquiredConnection | AccessRefusal> {
     const pool = this.memberRegistry.findPool(request.member);
     if (pool === undefined) return createRefusal('closed', 'busy', 'the member is not listed');
     const earlyRefusal = this.findRefusal(request, check);
     if (earlyRefusal !== undefined) return earlyRefusal;
-    const { credentials, values, timeoutMs: waitMs, maxEstimatedWaitMs, priority } = request;
+    const { credentials, values, timeoutMs, maxEstimatedWaitMs, priority } = request;
+    const deadline = startedAt + timeoutMs;
     const acquired = await pool.acquire({
       organisation: credentials.organisation,
       session: { values },
-      waitMs,
+      waitMs: Math.min(MAX_CONNECTION_WAIT_IN_SLOT_MS, deadline - this.clock.now()),
       maxEstimatedWaitMs,
       priority,
     });
-    if (acquired.kind === 'refused') return createRefusal(acquired.reason);
+    if (acquired.kind === 'refused') {
+      const rejection = findConnectionRejection(acquired.reason, acquired.retryAfterMs);
+      return rejection === undefined
+        ? createRefusal(acquired.reason)
+        : this.admission.refuse(request, rejection);
+    }
     const { connection } = acquired;
-    const refusal = this.findRefusal(request, check);
+    const maxTokenWaitMs = Math.min(deadline - this.clock.now(), maxEstimatedWaitMs);
+    const token = this.warmupGate?.take(request, connection, maxTokenWaitMs) ?? 0;
+    if (typeof token === 'number' && token > 0) await waitForToken(pool, slot, token);
+    const refusal = typeof token === 'number' ? this.findRefusal(request, check) : token;
     if (refusal === undefined) return { kind: 'acquired', pool, connection };
     pool.release(connection);
     return refusal;
   }
 
-  private findRefusal(
-    { member, credentials, waitFor }: ConnectionRequest,
-    check: PrimaryCheck,
-  ): AccessRefusal | undefined {
+  private findRefusal(request: ConnectionRequest, check: PrimaryCheck): AccessRefusal | undefined {
+    const { member, credentials, waitFor } = request;
+    const evacuated = this.memberRegistry.evacuationGuard.findRefusal(request);
+    if (evacuated !== undefined) return evacuated;
     const code = this.grantChecker.findRefusal(credentials);
     if (code !== undefined) {
       const reason = code === 'key-rejected' ? 'key' : 'stale-key';
@@ -170,72 +260,3 @@
     return createRefusal('stale-primary', 'busy', 'the primary was not confirmed recently');
   }
 }
-
-/** Statements of open transactions run before those that have not begun, which hold nothing. */
-const OPEN_TRANSACTION_PRIORITY = -1;
-
-/** A transaction on one of this instance's own connections. */
-class LocalMemberTransaction implements MemberTransaction {
-  private isEnded = false;
-
-  constructor(
-    private readonly pool: MemberPool,
-    private readonly connection: MemberConnection,
-    private readonly gate: SlotGate | undefined,
-    private readonly request: BeginRequest,
-    private readonly weight: number,
-  ) {}
-
-  async run(
-    statement: MemberStatement,
-    values: ReadonlyMap<string, string>,
-    timeoutMs: number,
-  ): Promise<ExchangeResult> {
-    const { credentials } = this.request;
-    // A statement of an open transaction is not refused for its wait: the work done would be lost.
-    const admitted = await this.gate?.acquire({
-      organisation: credentials.organisation,
-      weight: this.weight,
-      priority: OPEN_TRANSACTION_PRIORITY,
-      maxEstimatedWaitMs: timeoutMs,
-      waitMs: timeoutMs,
-    });
-    if (admitted !== undefined && admitted.kind !== 'granted') {
-      return { kind: 'lost', reason: `no slot: ${admitted.kind}`, wasSent: false };
-    }
-    try {
-      return await this.runInSlot(statement, values, timeoutMs);
-    } finally {
-      admitted?.release();
-    }
-  }
-
-  private async runInSlot(
-    statement: MemberStatement,
-    values: ReadonlyMap<string, string>,
-    timeoutMs: number,
-  ): Promise<ExchangeResult> {
-    // Another session may use the connection once the transaction has ended.
-    if (this.isEnded) {
-      return { kind: 'lost', reason: 'the transaction has ended', wasSent: false };
-    }
-    return this.connection.runInSession({ values }, statement, undefined, timeoutMs);
-  }
-
-  end(): void {
-    if (this.isEnded) return;
-    this.isEnded = true;
-    void this.release();
-  }
-
-  private async release(): Promise<void> {
-    const { pool, connection } = this;
-    if (!connection.isClosed && connection.transactionState !== 'idle') {
-      const exchange = await connection.exchange({ kind: 'rollback' }, ROLLBACK_TIMEOUT_MS);
-      if (exchange.kind === 'answered' && exchange.reply.state !== 'idle') {
-        pool.discard(connection, 'the transaction could not be rolled back');
-      }
-    }
-    pool.release(connection);
-  }
-}
--- a/packages/gateway/src/members/member-connection.ts
+++ b/packages/gateway/src/members/member-connection.ts
@@ -10,20 +10,12 @@
   MemberTarget,
   PrepareCommand,
 } from '../ports/member-protocol.js';
+import type { ExchangeResult } from './exchange-result.js';
 import { PreparedNames } from './prepared-names.js';
+import type { PreparedStatement } from './prepared-statement.js';
+import { createSetupCommands } from './session-setup.js';
 
-/** How a command to a member ended. */
-export type ExchangeResult =
-  | { readonly kind: 'answered'; readonly reply: MemberReply; readonly sentAt: Milliseconds }
-  /** The connection ended or the timeout passed before the reply was complete. */
-  | {
-      readonly kind: 'lost';
-      readonly reason: string;
-      /** False only if the command is certain not to have left this process. */
-      readonly wasSent: boolean;
-      /** Error that the member sent before it closed the connection. */
-      readonly code?: WireError['code'] | undefined;
-    };
+export type { ExchangeResult } from './exchange-result.js';
 
 interface PendingCommand {
   readonly sentAt: Milliseconds;
@@ -62,6 +54,9 @@
 
   isClosed = false;
 
+  /** Whether this instance closed a connection that worked, as one that is not needed. */
+  isOrderlyClosed = false;
+
   /** State of the transaction in the last reply. */
   transactionState: TransactionState = 'idle';
 
@@ -162,7 +157,7 @@
       timeoutMs,
     );
     if (result.kind === 'lost' || result.reply.error?.code !== 'unknown-name') return result;
-    this.destroy('does not know a statement that was prepared');
+    this.discard('does not know a statement that was prepared');
     return { kind: 'lost', reason: 'the member lost a prepared statement', wasSent: false };
   }
 
@@ -205,6 +200,14 @@
     return true;
   }
 
+  /** @returns number of commands that a statement takes, with those that set it up */
+  countCommands(session: SessionState, prepared: PreparedStatement | undefined): number {
+    const setup = createSetupCommands(this.values, session.values);
+    const isReset = setup[0]?.kind === 'reset';
+    const needsPrepare = prepared && (isReset || !this.preparedNames.has(prepared));
+    return setup.length + (needsPrepare === true ? 2 : 1);
+  }
+
   /** Length of the values at the member; their texts stay in memory as long as the connection. */
   get valueBytes(): number {
     let bytes = 0;
@@ -219,9 +222,20 @@
 
   /** Closes the connection in an orderly way. */
   close(): void {
+    this.isOrderlyClosed = true;
     this.channel.close();
   }
 
+  /**
+   * Drops a connection that cannot be used further although it works, which says nothing about the member.
+   *
+   * @param reason - why; part of the error that callers receive
+   */
+  discard(reason: string): void {
+    this.isOrderlyClosed = true;
+    this.destroy(reason);
+  }
+
   /**
    * Drops the connection and fails its pending commands.
    *
@@ -258,16 +272,8 @@
 
   /** Creates the commands that set up the session's values, and records the values as set up. */
   private createSetup(session: SessionState): MemberCommand[] {
-    const setup: MemberCommand[] = [];
-    const needsReset = [...this.values.keys()].some((name) => !session.values.has(name));
-    if (needsReset) {
-      setup.push({ kind: 'reset' });
-      this.values = new Map();
-      this.preparedNames.clear();
-    }
-    for (const [name, value] of session.values) {
-      if (this.values.get(name) !== value) setup.push({ kind: 'set', name, value });
-    }
+    const setup = createSetupCommands(this.values, session.values);
+    if (setup[0]?.kind === 'reset') this.preparedNames.clear();
     this.values = new Map(session.values);
     return setup;
   }
@@ -286,7 +292,7 @@
   /** Drops the connection, whose state is unknown after the member refused to set it up. */
   private dropAfterRefusal(command: MemberCommand, code: WireError['code']): ExchangeResult {
     const reason = `refused ${command.kind}: ${code}`;
-    this.destroy(reason);
+    this.discard(reason);
     return { kind: 'lost', reason, wasSent: false };
   }
 
--- a/packages/gateway/src/members/member-pool.ts
+++ b/packages/gateway/src/members/member-pool.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  computeRetryAfterMs,
   type MemberEntry,
   type Milliseconds,
   type OrganisationId,
@@ -104,11 +105,21 @@
     return this.busy.size + this.queue.length;
   }
 
+  /** @returns maximum number of connections of this instance */
+  get maxConnections(): number {
+    return this.limits.maxConnections;
+  }
+
   /** @returns number of connections, open or being opened */
   get size(): number {
     return this.idle.length + this.busy.size + this.opening.size;
   }
 
+  /** @returns whether the member has accepted a connection that is still open */
+  get hasOpenConnection(): boolean {
+    return this.idle.length + this.busy.size > 0;
+  }
+
   /** @returns whether an idle connection for an organisation exists */
   hasIdle(organisation: OrganisationId | undefined): boolean {
     return this.idle.some((connection) => connection.organisation === organisation);
@@ -129,7 +140,8 @@
     const index = this.queue.findInsertIndex(priority);
     const estimatedWaitMs = this.waitEstimator.estimateWait(index, this.clock.now());
     if (index >= this.limits.maxWaiting || estimatedWaitMs > Math.min(waitMs, maxEstimatedWaitMs)) {
-      return { kind: 'refused', reason: 'overloaded' };
+      const retryAfterMs = computeRetryAfterMs(estimatedWaitMs - maxEstimatedWaitMs);
+      return { kind: 'refused', reason: 'overloaded', retryAfterMs };
     }
     return new Promise((resolve) => {
       const timer = setTimeout(() => this.expire(waiter), Math.max(1, waitMs));
@@ -146,7 +158,7 @@
    * @param connection - must be outside a transaction; otherwise it is destroyed
    */
   release(connection: MemberConnection): void {
-    if (connection.transactionState !== 'idle') connection.destroy('left inside a transaction');
+    if (connection.transactionState !== 'idle') connection.discard('left inside a transaction');
     if (!this.busy.delete(connection) || connection.isClosed) return;
     if (this.isClosed) {
       connection.close();
@@ -158,13 +170,32 @@
       this.grant(connection, next);
       return;
     }
-    if (!this.mayBecomeIdle(connection)) connection.close();
-    else this.idle.push(connection);
+    this.keepIdle(connection);
     if (this.queue.length > 0) this.serveQueue();
   }
 
-  private mayBecomeIdle(connection: MemberConnection): boolean {
-    if (this.idle.length >= this.limits.maxIdleConnections) return false;
+  /**
+   * Keeps a released connection in place of the one that has been idle for longest.
+   *
+   * Load pattern: many more organisations than idle connections, most of which send little. If the
+   * connections that became idle first were kept, those of rare organisations would stay for the
+   * idle timeout, and the active ones would open a connection for almost every statement.
+   */
+  private keepIdle(connection: MemberConnection): void {
+    const { maxIdleConnections } = this.limits;
+    if (maxIdleConnections === 0 || !this.mayKeepValues(connection)) {
+      connection.close();
+      return;
+    }
+    // Requests that wait are served afterwards, when the released connection counts again.
+    const wasServing = this.isServing;
+    this.isServing = true;
+    while (this.idle.length >= maxIdleConnections) this.closeOldestIdle();
+    this.isServing = wasServing;
+    this.idle.push(connection);
+  }
+
+  private mayKeepValues(connection: MemberConnection): boolean {
     let bytes = connection.valueBytes;
     if (bytes === 0) return true;
     for (const other of this.idle) bytes += other.valueBytes;
@@ -173,7 +204,7 @@
 
   /** Drops an acquired connection whose state is unknown. */
   discard(connection: MemberConnection, reason: string): void {
-    connection.destroy(reason);
+    connection.discard(reason);
   }
 
   /** Closes connections that are not needed; called periodically. */
@@ -212,6 +243,7 @@
 
   onOpen(connection: MemberConnection): void {
     this.listener.onConnection('opened');
+    this.listener.onReachable?.(this.entry, true);
     this.lastReplyAt = this.clock.now();
     this.avoidUntil = toMilliseconds(0);
     this.reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
@@ -234,6 +266,10 @@
     this.busy.delete(connection);
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
+    const isAtLimit = error?.code === 'connection-limit';
+    const hasFailed = !connection.isOrderlyClosed && !isAtLimit && !this.isClosed;
+    // A connection that is being opened may reach the member after its restart.
+    if (hasFailed && !this.hasOpenConnection) this.listener.onReachable?.(this.entry, false);
     if (wasOpening) this.handleOpenFailure(error);
     else this.serveQueue();
   }
@@ -282,8 +318,11 @@
     return connection;
   }
 
-  /** Gives idle connections to waiting requests, and opens new ones as far as the limits allow. */
-  private serveQueue(): void {
+  /**
+   * Gives idle connections to waiting requests, and opens new ones as far as the limits allow. Also
+   * called when a request will hold its connection for long: the next release may be far away.
+   */
+  serveQueue(): void {
     if (this.isClosed || this.isServing) return;
     this.isServing = true;
     this.assignConnections();
@@ -345,7 +384,10 @@
 
   private refuse(waiter: Waiter, reason: AcquireFailure): void {
     clearTimeout(waiter.timer);
-    waiter.resolve({ kind: 'refused', reason });
+    const now = this.clock.now();
+    const estimatedWaitMs = this.waitEstimator.estimateWait(this.queue.length, now);
+    const retryAfterMs = reason === 'timeout' ? computeRetryAfterMs(estimatedWaitMs) : undefined;
+    waiter.resolve({ kind: 'refused', reason, retryAfterMs });
   }
 
   private scheduleServing(ms: number): void {
--- a/packages/gateway/src/members/member-registry.ts
+++ b/packages/gateway/src/members/member-registry.ts
@@ -2,12 +2,10 @@
   type Clock,
   type ConfirmationTracker,
   type GroupId,
-  type TermPosition,
   type MemberEntry,
   type MemberId,
   type Milliseconds,
-  FailureRatioTracker,
-  MemberLoadTracker,
+  type MemberLoadTracker,
   type ReadMemberState,
   toMilliseconds,
 } from '@heatherledge/core';
@@ -18,9 +16,14 @@
 import type { EventLog } from '../runtime/event-log.js';
 import type { GatewayMetrics } from '../runtime/gateway-metrics.js';
 import type { GatewaySettings } from '../settings.js';
+import { EvacuationGuard } from './evacuation-guard.js';
 import type { ExchangeResult, MemberConnection } from './member-connection.js';
+import { isSameEndpoint } from './member-endpoint.js';
+import { MemberPaces } from './member-paces.js';
 import { MemberPool } from './member-pool.js';
-import type { PoolLimits, PoolListener } from './pool-listener.js';
+import { createMemberState, type MemberState } from './member-state.js';
+import { MemberWarmups } from './member-warmups.js';
+import type { PoolListener } from './pool-listener.js';
 import { PrimaryTracker } from './primary-tracker.js';
 
 /** Maximum number of requests that wait for a connection to one member. */
@@ -38,24 +41,6 @@
 /** Time for which other members are preferred after a host could not reach this one. */
 const UNREACHABLE_TTL_MS = 600;
 
-interface MemberState {
-  readonly entry: MemberEntry;
-  readonly pool: MemberPool;
-  readonly limits: PoolLimits;
-  /** Admits statements to the member over this instance's connections. */
-  readonly slotGate: SlotGate;
-  /** Log position in the member's latest reply; part of the state dump. */
-  reportedPosition: TermPosition | undefined;
-  laggingUntil: Milliseconds;
-  /** Consecutive refusals of reads because the replica's log lagged. */
-  consecutiveLagRefusals: number;
-  readonly outcomes: FailureRatioTracker;
-  /** Load that other instances' statements and reports show. */
-  readonly load: MemberLoadTracker;
-  /** Time until which the member is avoided, since its host could not reach it. */
-  avoidUntil: Milliseconds;
-}
-
 /**
  * Holds a connection pool for each listed member, and records what the members' replies show: log
  * positions, lagging replicas and failed statements.
@@ -66,18 +51,34 @@
   /** Primaries of the groups and samples of their logs. */
   readonly primaryTracker: PrimaryTracker;
 
+  /** Decides what may be sent to members of evacuated failure domains. */
+  readonly evacuationGuard: EvacuationGuard;
+  /** Cold members, and the limits of statements to them. */
+  readonly warmups: MemberWarmups;
+
+  private readonly paces: MemberPaces;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly settings: GatewaySettings,
     private readonly view: FleetView,
     readonly connector: MemberConnector,
-    private readonly hosts: HostDirectory,
+    readonly hosts: HostDirectory,
     private readonly clock: Clock,
     private readonly metrics: GatewayMetrics,
     private readonly log: EventLog,
   ) {
     this.primaryTracker = new PrimaryTracker(view, (member) => this.states.has(member), clock, log);
+    const isPrimary = (member: MemberId): boolean => this.isPrimary(member);
+    this.evacuationGuard = new EvacuationGuard(view, isPrimary, clock, metrics);
+    const findEvacuationEnd = (domain: string): Milliseconds | undefined =>
+      view.findEvacuationEnd(domain);
+    const warmupServices = { settings, view, hosts, clock, metrics, log, findEvacuationEnd };
+    this.warmups = new MemberWarmups(warmupServices);
+    const findColdEnd = (entry: MemberEntry): Milliseconds | undefined =>
+      this.warmups.findColdEnd(entry);
+    this.paces = new MemberPaces({ settings, clock, metrics, log, findColdEnd });
     view.onChange(() => this.applyView());
   }
 
@@ -134,9 +135,10 @@
    * old to be certain of it.
    *
    * @param group - the group
+   * @param priority - priority of the read; 0 is the most urgent
    * @returns the members with the state that the choice between them needs
    */
-  listReaders(group: GroupId): ReadMemberState[] {
+  listReaders(group: GroupId, priority: number): ReadMemberState[] {
     const primary = this.primaryTracker.find(group);
     const now = this.clock.now();
     const readers: ReadMemberState[] = [];
@@ -145,7 +147,9 @@
       if (entry.group !== group) continue;
       const isPrimary = entry.id === primary;
       if (isPrimary && !this.view.confirmation.mayTrustPrimary(now)) continue;
-      const { id, isDraining } = entry;
+      if (!this.evacuationGuard.mayUse(entry)) continue;
+      const { id, slots } = entry;
+      const isDraining = entry.isDraining || this.evacuationGuard.isEvacuated(entry);
       const pending = state.slotGate.pending + state.load.estimatePending(now);
       const avoidUntil = toMilliseconds(Math.max(pool.avoidUntil, state.avoidUntil));
       const distance = this.computeDistance(entry.failureDomain);
@@ -155,10 +159,13 @@
         isDraining,
         distance,
         pending,
+        slots,
+        statementMs: state.load.times.findMeanMs(priority, now),
         avoidUntil,
         reportedPosition,
         laggingUntil,
         failureRatio: outcomes.computeFailureRatio(now),
+        isCold: this.warmups.isCold(entry),
       });
     }
     return readers;
@@ -192,6 +199,16 @@
     state.avoidUntil = toMilliseconds(this.clock.now() + UNREACHABLE_TTL_MS);
   }
 
+  /**
+   * Records that another instance could not reach a member. It may restart before this instance opens
+   * its first connection, and that connection alone would not show the restart.
+   */
+  recordUnreachableElsewhere(member: MemberId): void {
+    const state = this.states.get(member);
+    if (state === undefined || state.pool.hasOpenConnection) return;
+    this.warmups.recordReachable(state.entry, false);
+  }
+
   /** Records a reply that arrived through the member's host. */
   recordReply(member: MemberId, exchange: Extract<ExchangeResult, { kind: 'answered' }>): void {
     const state = this.states.get(member);
@@ -216,6 +233,11 @@
     this.metrics.memberConnections.inc({ outcome });
   }
 
+  onReachable(entry: MemberEntry, isReachable: boolean): void {
+    this.warmups.recordReachable(entry, isReachable);
+    this.paces.recordReachable(entry, isReachable);
+  }
+
   onPrepare(entry: MemberEntry, connection: MemberConnection, command: PrepareCommand): void {
     const { number, organisation } = connection;
     const { name, access, shape } = command;
@@ -246,6 +268,8 @@
 
   /** Recomputes the pools' limits, which depend on the hosts that answer, and closes connections. */
   private runMaintenance(): void {
+    this.warmups.update();
+    this.paces.update(this.view.members.values());
     for (const { entry, limits, pool } of this.states.values()) {
       Object.assign(limits, this.hosts.computeBudget(entry));
       pool.trim();
@@ -257,9 +281,12 @@
       const entry = this.view.members.get(id);
       if (entry !== undefined && isSameEndpoint(entry, state.entry)) continue;
       this.states.delete(id);
+      this.paces.remove(id);
       state.pool.close();
     }
     for (const entry of this.view.members.values()) this.setMember(entry);
+    this.warmups.applyView();
+    this.paces.update(this.view.members.values());
     this.primaryTracker.notifyWaiters();
   }
 
@@ -272,28 +299,7 @@
     if (this.view.settings?.groups.get(entry.group) === undefined) return;
     const limits = { ...this.hosts.computeBudget(entry), maxWaiting: MAX_WAITING_REQUESTS };
     const pool = new MemberPool(entry, this.connector, limits, this, this.clock);
-    const laggingUntil = toMilliseconds(0);
-    this.states.set(entry.id, {
-      entry,
-      pool,
-      limits,
-      slotGate: new SlotGate(entry.slots, this.clock),
-      reportedPosition: undefined,
-      laggingUntil,
-      consecutiveLagRefusals: 0,
-      outcomes: new FailureRatioTracker(),
-      load: new MemberLoadTracker(),
-      avoidUntil: toMilliseconds(0),
-    });
+    const slotGate = new SlotGate(entry.slots, this.clock, this.paces.create(entry));
+    this.states.set(entry.id, createMemberState(entry, pool, limits, slotGate));
   }
 }
-
-/** @returns whether the connections of one entry's pool can also be used for the other entry */
-function isSameEndpoint(left: MemberEntry, right: MemberEntry): boolean {
-  return (
-    left.host === right.host &&
-    left.port === right.port &&
-    left.incarnation === right.incarnation &&
-    left.group === right.group
-  );
-}
--- a/packages/gateway/src/sessions/admission.ts
+++ b/packages/gateway/src/sessions/admission.ts
@@ -1,4 +1,12 @@
-import { type KeyDigest, type OrganisationId, ProxyError, type Route } from '@heatherledge/core';
+import {
+  type AllowedRegions,
+  type KeyDigest,
+  type OrganisationId,
+  prefersUrgentRoutes,
+  ProxyError,
+  resolveAllowedRegions,
+  type Route,
+} from '@heatherledge/core';
 import type { LimitsTask } from '@heatherledge/daemon';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { WireError } from '../ports/caller-protocol.js';
@@ -32,7 +40,7 @@
     const grant = this.resolveGrant(database, key);
     if ('code' in grant || grant.organisation === undefined) return grant;
     try {
-      await this.services.limits.admit(grant.organisation);
+      await this.services.limits.admit(grant.organisation, this.resolvePriority(grant));
     } catch (error) {
       if (!(error instanceof ProxyError)) throw error;
       return { code: 'busy', text: error.message };
@@ -57,6 +65,12 @@
     return this.checkKey(route, key, key && settings.organisationByKey.get(key));
   }
 
+  /** Resolves the priority with which an operation gets a token of its organisation's rate. */
+  private resolvePriority({ route }: Grant): number {
+    const { settings } = this.services.view;
+    return settings !== undefined && prefersUrgentRoutes(settings) ? route.priority : 0;
+  }
+
   private checkKey(
     route: Route,
     key: KeyDigest | undefined,
@@ -65,9 +79,26 @@
     if (organisation === undefined && !route.isPublic) {
       return { code: 'key-rejected', text: 'the key is not valid' };
     }
-    const grant = { route, organisation, key };
+    const grant = this.createGrant(route, key, organisation);
     const refusalCode = this.services.grantChecker.findRefusal(grant);
     if (refusalCode === undefined) return grant;
     return { code: refusalCode, text: 'this instance cannot check the key now' };
   }
+
+  /** Creates a grant whose allowed regions follow changes of the settings while it is in use. */
+  private createGrant(
+    route: Route,
+    key: KeyDigest | undefined,
+    organisation: OrganisationId | undefined,
+  ): Grant {
+    const { view } = this.services;
+    return {
+      route,
+      organisation,
+      key,
+      get allowedRegions(): AllowedRegions | undefined {
+        return view.settings && resolveAllowedRegions(view.settings, route, organisation);
+      },
+    };
+  }
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -17,4 +17,27 @@
   readonly maxKeyRevocationDelayMs: Milliseconds;
   /** How far an organisation may exceed its rate. */
   readonly rateTolerance: RateTolerance;
+  /**
+   * Time after the acknowledgement of an evacuation within which requests to the members of the failure
+   * domain must stop; undefined if the deployment has no such bound.
+   */
+  readonly maxEvacuationDelayMs?: Milliseconds | undefined;
+  /** Tolerated excess over the pace of members that have just started; undefined without a bound. */
+  readonly warmupTolerance?: WarmupTolerance | undefined;
+  /** How the concurrency limits of members are found; `fixed` without it. */
+  readonly memberPace?: MemberPaceMode | undefined;
+}
+
+/**
+ * How many statements may run at a member at once: its slots and one more, or what is found from how it
+ * answers, up to that.
+ */
+export type MemberPaceMode = 'fixed' | 'adaptive';
+
+/** How far a member that has just started may get more requests than its pace in one second. */
+export interface WarmupTolerance {
+  /** Factor on the pace. */
+  readonly overshoot: number;
+  /** Requests tolerated in addition. */
+  readonly slack: number;
 }
