Say of unfinished messages that they are outstanding

Cause: the account of what others make an instance hold used a word of another trade for incomplete messages. Result: unit tests of the account and of the guard pass; no behaviour changes.

--- a/packages/core/src/limits/memory-budget.ts
+++ b/packages/core/src/limits/memory-budget.ts
@@ -14,11 +14,11 @@
   /** Releases reserved bytes. */
   release(bytes: number): void;
   /**
-   * Sets since when the other side owes the rest of something, or has not read what it was sent.
+   * Sets since when the rest of a message of the other side is outstanding, or it has not read what it was sent.
    *
-   * @param since - in milliseconds of one clock for all accounts; undefined while nothing is owed
+   * @param since - in milliseconds of one clock for all accounts; undefined while nothing is outstanding
    */
-  setOwedSince(since: number | undefined): void;
+  setOutstandingSince(since: number | undefined): void;
   /** Ends the account, and releases what it has reserved. */
   close(): void;
 }
@@ -34,7 +34,7 @@
 interface Entry {
   bytes: number;
   reserved: number;
-  owedSince: number | undefined;
+  outstandingSince: number | undefined;
   readonly group: string | undefined;
   readonly reclaim: () => void;
 }
@@ -44,14 +44,14 @@
   readonly onAvailable: () => void;
 }
 
-/** An account counts as larger by its size for each such time for which the other side owes something. */
-const OWED_UNIT_MS = 1000;
-/** Time for which a reservation is kept that others wait for while the other side owes its rest. */
-const MAX_RESERVED_OWED_MS = 5000;
+/** An account counts as larger by its size for each such time for which something of the other side is outstanding. */
+const OUTSTANDING_UNIT_MS = 1000;
+/** Time for which a reservation is kept that others wait for while the rest of the message is outstanding. */
+const MAX_RESERVED_STALL_MS = 5000;
 
 /**
  * Limits the memory of all holders together. Beyond the limit the holder of the most bytes, for the longest
- * time while the other side owes something, is asked to release them first, so that the others are served on. Shares of a budget
+ * time while something of the other side is outstanding, is asked to release them first, so that the others are served on. Shares of a budget
  * are limited on their own, and count towards the whole.
  */
 export class MemoryBudget {
@@ -117,10 +117,10 @@
       use: (bytes) => this.use(account, bytes),
       reserve: (bytes, onAvailable) => this.reserve(account, bytes, onAvailable),
       release: (bytes) => this.release(account, bytes),
-      setOwedSince: (since) => this.setOwedSince(account, since),
+      setOutstandingSince: (since) => this.setOutstandingSince(account, since),
       close: () => this.close(account),
     };
-    const entry: Entry = { bytes: 0, reserved: 0, owedSince: undefined, group, reclaim };
+    const entry: Entry = { bytes: 0, reserved: 0, outstandingSince: undefined, group, reclaim };
     this.usage.set(account, entry);
     return account;
   }
@@ -131,11 +131,11 @@
    *
    * @param now - time in milliseconds
    */
-  reclaimOwed(now: number): void {
+  reclaimStalled(now: number): void {
     this.latest = Math.max(this.latest, now);
     if (this.waiters.size === 0) return;
-    for (const [account, { reserved, owedSince = now, reclaim }] of [...this.usage]) {
-      if (reserved === 0 || now - owedSince < MAX_RESERVED_OWED_MS) continue;
+    for (const [account, { reserved, outstandingSince = now, reclaim }] of [...this.usage]) {
+      if (reserved === 0 || now - outstandingSince < MAX_RESERVED_STALL_MS) continue;
       this.close(account);
       reclaim();
     }
@@ -195,10 +195,10 @@
     return this.reserved === 0 || this.reserved + bytes <= maxReservedBytes;
   }
 
-  private setOwedSince(account: BudgetAccount, since: number | undefined): void {
+  private setOutstandingSince(account: BudgetAccount, since: number | undefined): void {
     this.latest = Math.max(this.latest, since ?? 0);
     const entry = this.usage.get(account);
-    if (entry !== undefined) entry.owedSince = since;
+    if (entry !== undefined) entry.outstandingSince = since;
   }
 
   /** Reclaims from the share that uses the most of its limit until the whole is within its own. */
@@ -217,8 +217,8 @@
     let most = -1;
     for (const [account, entry] of this.usage) {
       if (group !== undefined && entry.group !== group) continue;
-      const owedMs = this.latest - (entry.owedSince ?? this.latest);
-      const weight = entry.bytes * (1 + owedMs / OWED_UNIT_MS);
+      const outstandingMs = this.latest - (entry.outstandingSince ?? this.latest);
+      const weight = entry.bytes * (1 + outstandingMs / OUTSTANDING_UNIT_MS);
       if (weight <= most) continue;
       most = weight;
       largest = account;
--- a/packages/core/test/units/memory-budget.test.ts
+++ b/packages/core/test/units/memory-budget.test.ts
@@ -72,7 +72,7 @@
 
 describe('the choice of what a MemoryBudget reclaims', () => {
   // Guards against idle sessions that are closed for others that never end what they have begun.
-  it('counts the time for which the other side owes something, and none of idle accounts', () => {
+  it('counts the time for which something of the other side is outstanding, and none of idle accounts', () => {
     const budget = new MemoryBudget(100);
     const reclaimed: string[] = [];
     const idle = budget.open(() => reclaimed.push('idle'));
@@ -80,8 +80,8 @@
     const active = budget.open(() => reclaimed.push('active'));
     idle.use(50);
     stalled.use(20);
-    stalled.setOwedSince(1000);
-    budget.reclaimOwed(10_000);
+    stalled.setOutstandingSince(1000);
+    budget.reclaimStalled(10_000);
     active.use(31);
     expect(reclaimed).toEqual(['stalled']);
   });
@@ -120,7 +120,7 @@
   });
 
   // Guards against crawling messages that keep all room for large ones.
-  it('are reclaimed from those that owe the rest for long, only while others wait', () => {
+  it('are reclaimed from those whose messages stay incomplete for long, only while others wait', () => {
     const budget = new MemoryBudget(100, { maxReservedBytes: 10 });
     const reclaimed: string[] = [];
     const slow = budget.open(() => reclaimed.push('slow'));
@@ -128,14 +128,14 @@
     const waiting = budget.open(() => reclaimed.push('waiting'));
     slow.reserve(5, () => {});
     running.reserve(5, () => {});
-    slow.setOwedSince(0);
-    budget.reclaimOwed(60_000);
+    slow.setOutstandingSince(0);
+    budget.reclaimStalled(60_000);
     expect(reclaimed).toEqual([]);
     let wasCalled = false;
     waiting.reserve(5, () => {
       wasCalled = true;
     });
-    budget.reclaimOwed(60_000);
+    budget.reclaimStalled(60_000);
     expect({ reclaimed, wasCalled }).toEqual({ reclaimed: ['slow'], wasCalled: true });
   });
 });
--- a/packages/daemon/src/peers/link-memory.ts
+++ b/packages/daemon/src/peers/link-memory.ts
@@ -48,12 +48,12 @@
   /** Records that a whole message has arrived; the end of its last chunk is not counted. */
   recordMessage(): void {
     this.incompleteBytes = 0;
-    this.account.setOwedSince(undefined);
+    this.account.setOutstandingSince(undefined);
     this.account.use(this.socket.writableLength);
   }
 
   private receive(chunk: Buffer): void {
-    if (this.incompleteBytes === 0) this.account.setOwedSince(performance.now());
+    if (this.incompleteBytes === 0) this.account.setOutstandingSince(performance.now());
     this.incompleteBytes += chunk.length;
     if (!this.isReady && this.incompleteBytes > MAX_HANDSHAKE_BYTES) {
       this.onExceeded('too much was sent before the handshake');
--- a/packages/gateway/src/sessions/connection-guard.ts
+++ b/packages/gateway/src/sessions/connection-guard.ts
@@ -109,7 +109,7 @@
   private checkProgress(): void {
     const now = this.services.clock.now();
     // The clock of the connections, which keeps running while the process is suspended.
-    this.budget.reclaimOwed(performance.now());
+    this.budget.reclaimStalled(performance.now());
     for (const [socket, { meter, isExpecting }] of this.connections) {
       const moved = socket.bytesRead + socket.bytesWritten - socket.writableLength;
       if (meter.checkSlow(now, moved, isExpecting())) this.refuse(socket, 'slow');
--- a/packages/gateway/test/units/connection-guard.test.ts
+++ b/packages/gateway/test/units/connection-guard.test.ts
@@ -88,7 +88,7 @@
   });
 
   // Guards against idle sessions that are closed as slow, and against crawling ones that stay.
-  it('closes connections that owe bytes and send none, and keeps idle sessions', async () => {
+  it('closes connections with incomplete messages that send nothing, and keeps idle sessions', async () => {
     const idle = await open();
     const silent = await open();
     const crawling = await open();
