Keep the first queue of members in the lab, where it is a baseline

Cause: the product no longer uses start-time fair queueing by number of statements, and its module stood beside the new one.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,7 +10,6 @@
 export * from './fairness/fair-queue.js';
 export * from './fairness/organisation-requests.js';
 export * from './fairness/slot-time-fair-queue.js';
-export * from './fairness/weighted-fair-queue.js';
 export * from './idempotency/commit-tracker.js';
 export * from './keys/freshness-guard.js';
 export * from './keys/key-digest.js';
--- a/packages/lab/src/placement/baselines/last-version-queue.ts
+++ b/packages/lab/src/placement/baselines/last-version-queue.ts
@@ -4,8 +4,8 @@
   type SlotRequest,
   type SlotTicket,
   WaitEstimator,
-  WeightedFairQueue,
 } from '@heatherledge/core';
+import { WeightedFairQueue } from './weighted-fair-queue.js';
 
 /** Decision on a statement that needs a slot. */
 export type LastVersionDecision =
--- a/packages/core/src/fairness/weighted-fair-queue.ts
+++ b/packages/lab/src/placement/baselines/weighted-fair-queue.ts
@@ -1,5 +1,4 @@
-import type { OrganisationId } from '../types/ids.js';
-import type { QueueTicket } from './fair-queue.js';
+import type { OrganisationId, QueueTicket } from '@heatherledge/core';
 
 interface WaitingRequest {
   readonly ticket: QueueTicket;
